--- /dev/null
+++ b/samphirebank/wire/wire.h
@@ -0,0 +1,183 @@
+// File: wire.h
+//
+// Messages between the system's own processes: one typed struct a kind,
+// encoded by cereal, sealed under the fleet key by libsodium.
+//
+// A message type states its kind and its fields:
+//
+//   struct Ping {
+//     static constexpr wire::Kind kKind = wire::Kind::kPing;
+//     uint64_t nonce = 0;
+//     template <typename Archive> void serialize(Archive& archive) {
+//       archive(nonce);
+//     }
+//   };
+//
+//   std::string bytes = sealer.Seal(Encode(Ping{.nonce = 7}));
+//   leaf::result<Opened> opened = opener.Open(bytes);
+//   leaf::result<Ping> ping = Decode<Ping>(opened->packet);
+//
+// This header brings in cereal; include it in sources, not in headers.
+#ifndef SAMPHIREBANK_WIRE_WIRE_H_
+#define SAMPHIREBANK_WIRE_WIRE_H_
+
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/result.hpp>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+#include "samphirebank/base/base.h"
+
+namespace samphirebank::wire {
+
+namespace leaf = boost::leaf;
+
+// kVersion is the protocol version; other versions are refused.
+inline constexpr uint8_t kVersion = 1;
+
+// Kind says which message a packet holds. Values are never reused.
+enum class Kind : uint16_t {
+  kConsensus = 1,         // between control instances
+  kConfigPoll = 2,        // an instance asks for configuration and a lease
+  kConfigUpdate = 3,      // the answer: lease age, changes
+  kDemand = 4,            // entry router to pool scheduler
+  kGrant = 5,             // pool scheduler to entry router
+  kTargetState = 6,       // a target's announcement or load, to its scheduler
+  kClaimRequest = 7,      // router to control: claim or end an idempotency key
+  kClaimReply = 8,        // control to router
+  kCounterShare = 9,      // between schedulers of one service in two regions
+  kPoolRequest = 10,      // router to control: a pool needs a scheduler
+  kOperatorForward = 11,  // control instance to leader
+};
+
+// Packet is an encoded message with its kind.
+struct Packet {
+  Kind kind = Kind::kConsensus;
+  std::string payload;
+};
+
+// ErrorKind says why a packet was refused.
+enum class ErrorKind : uint8_t {
+  kTruncated,
+  kVersion,
+  kForged,
+  kReplayed,
+  kMalformed,
+  kTooLarge,
+  kWrongKind,
+};
+
+// Error is what the functions of this library fail with.
+struct Error {
+  ErrorKind kind = ErrorKind::kMalformed;
+};
+
+// EncodeFields returns the fields of any serializable struct.
+template <typename T>
+std::string EncodeFields(const T& value) {
+  std::ostringstream out;
+  cereal::PortableBinaryOutputArchive archive(out);
+  archive(value);
+  return std::move(out).str();
+}
+
+// DecodeFields reads what EncodeFields wrote; kMalformed when it does not fit
+// or when bytes are left over.
+template <typename T>
+leaf::result<T> DecodeFields(std::string_view bytes) {
+  std::istringstream in{std::string(bytes)};
+  try {
+    T value;
+    cereal::PortableBinaryInputArchive archive(in);
+    archive(value);
+    if (in.peek() != std::istringstream::traits_type::eof()) {
+      return leaf::new_error(Error{ErrorKind::kMalformed});
+    }
+    return value;
+  } catch (const std::exception&) {
+    return leaf::new_error(Error{ErrorKind::kMalformed});
+  }
+}
+
+// Encode packs a message.
+template <typename Message>
+Packet Encode(const Message& message) {
+  return Packet{.kind = Message::kKind, .payload = EncodeFields(message)};
+}
+
+// Decode unpacks a message; fails on another kind or on malformed bytes.
+template <typename Message>
+leaf::result<Message> Decode(const Packet& packet) {
+  if (packet.kind != Message::kKind) {
+    return leaf::new_error(Error{ErrorKind::kWrongKind});
+  }
+  return DecodeFields<Message>(packet.payload);
+}
+
+// FleetKey is the secret that all instances of a fleet share: 32 bytes.
+struct FleetKey {
+  std::string bytes;
+};
+
+// ParseFleetKey reads 64 hexadecimal digits; nothing if malformed.
+std::optional<FleetKey> ParseFleetKey(std::string_view hex);
+
+// Opened is a packet whose sender holds the fleet key.
+struct Opened {
+  InstanceId from;
+  BootId boot;
+  Packet packet;
+};
+
+// Sealer encrypts and numbers the packets of one instance's run.
+class Sealer {
+ public:
+  Sealer(FleetKey fleet_key, InstanceId self, BootId self_boot);
+
+  // Seal returns the bytes to send.
+  std::string Seal(const Packet& packet);
+
+ private:
+  FleetKey key;
+  InstanceId instance;
+  BootId boot;
+  uint64_t next_number = 1;
+};
+
+// Opener checks and decrypts packets and refuses replays: within one run of a
+// sender each packet number is taken once, and numbers more than
+// kReplayWindow behind the newest are refused.
+class Opener {
+ public:
+  explicit Opener(FleetKey fleet_key);
+
+  // Open fails with Error; nothing changes when it fails.
+  leaf::result<Opened> Open(std::string_view bytes);
+
+ private:
+  struct Window {
+    uint64_t newest = 0;
+    uint64_t seen = 0;  // bit i: number newest - i was taken
+  };
+  FleetKey key;
+  std::map<std::pair<std::string, uint64_t>, Window> windows;
+};
+
+// kReplayWindow is how far packets may be reordered.
+inline constexpr uint64_t kReplayWindow = 64;
+
+}  // namespace samphirebank::wire
+
+#endif  // SAMPHIREBANK_WIRE_WIRE_H_
--- /dev/null
+++ b/samphirebank/wire/wire_test.cc
@@ -0,0 +1,85 @@
+#include "samphirebank/wire/wire.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <string>
+#include <vector>
+
+namespace samphirebank::wire {
+namespace {
+
+struct Ping {
+  static constexpr Kind kKind = Kind::kDemand;
+  uint64_t nonce = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(nonce);
+  }
+};
+
+FleetKey KeyOf(char byte) { return FleetKey{std::string(32, byte)}; }
+
+// Refusal opens `bytes` and returns the reason, or nothing when it is taken.
+std::optional<ErrorKind> Refusal(Opener& opener, std::string_view bytes) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<ErrorKind>> {
+        BOOST_LEAF_CHECK(opener.Open(bytes));
+        return std::nullopt;
+      },
+      [](const Error& error) -> std::optional<ErrorKind> { return error.kind; },
+      []() -> std::optional<ErrorKind> { return ErrorKind::kMalformed; });
+}
+
+TEST_CASE("a sealed message opens once, under the same key") {
+  Sealer sealer(KeyOf('k'), InstanceId("r1"), BootId(4));
+  Opener opener(KeyOf('k'));
+  const std::string bytes = sealer.Seal(Encode(Ping{.nonce = 9}));
+  const leaf::result<Opened> opened = opener.Open(bytes);
+  REQUIRE(opened);
+  CHECK(opened->from == InstanceId("r1"));
+  CHECK(opened->boot == BootId(4));
+  CHECK(Decode<Ping>(opened->packet)->nonce == 9);
+  CHECK(Refusal(opener, bytes) == ErrorKind::kReplayed);
+}
+
+TEST_CASE("forged, truncated and foreign packets are refused") {
+  Sealer sealer(KeyOf('k'), InstanceId("r1"), BootId(4));
+  Opener opener(KeyOf('k'));
+  const std::string bytes = sealer.Seal(Encode(Ping{.nonce = 9}));
+  for (size_t i = 1; i < bytes.size(); ++i) {
+    std::string bent = bytes;
+    bent[i] = static_cast<char>(bent[i] ^ 1);
+    CHECK(Refusal(opener, bent) == ErrorKind::kForged);
+  }
+  std::string other_version = bytes;
+  other_version[0] = 9;
+  CHECK(Refusal(opener, other_version) == ErrorKind::kVersion);
+  CHECK(Refusal(opener, bytes.substr(0, 20)) == ErrorKind::kTruncated);
+  Opener stranger(KeyOf('x'));
+  CHECK(Refusal(stranger, bytes) == ErrorKind::kForged);
+  CHECK(Refusal(opener, bytes) == std::nullopt);
+}
+
+TEST_CASE("reordering within the window is allowed, each number once") {
+  Sealer sealer(KeyOf('k'), InstanceId("r1"), BootId(4));
+  Opener opener(KeyOf('k'));
+  std::vector<std::string> packets;
+  for (uint64_t i = 0; i < 70; ++i) {
+    packets.push_back(sealer.Seal(Encode(Ping{.nonce = i})));
+  }
+  CHECK(Refusal(opener, packets[69]) == std::nullopt);
+  CHECK(Refusal(opener, packets[10]) == std::nullopt);
+  CHECK(Refusal(opener, packets[10]) == ErrorKind::kReplayed);
+  CHECK(Refusal(opener, packets[2]) == ErrorKind::kReplayed);
+}
+
+TEST_CASE("a fleet key is 64 hexadecimal digits") {
+  CHECK(ParseFleetKey(std::string(64, 'a')).has_value());
+  CHECK(!ParseFleetKey(std::string(62, 'a')).has_value());
+  CHECK(!ParseFleetKey(std::string(63, 'a') + "g").has_value());
+}
+
+}  // namespace
+}  // namespace samphirebank::wire
