Add contract validation and the configuration's state machine

Contracts are read from JSON with every fault reported at its place, and commands carry a change id and an expected revision. The machine remembers the newest 8192 outcomes and 4096 changes, so that a resent change gets its first outcome and a follower catches up by changes.

--- /dev/null
+++ b/samphirebank/contracts/contract_json.cc
@@ -0,0 +1,219 @@
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "samphirebank/contracts/contracts.h"
+
+namespace samphirebank::contracts {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kNameLimit = 128;
+constexpr size_t kListLimit = 256;
+constexpr size_t kKeyHashLength = 64;
+constexpr uint32_t kLargest32 = std::numeric_limits<uint32_t>::max();
+constexpr int64_t kLargest64 = int64_t{1} << 53;
+
+bool IsNameCharacter(char c) {
+  const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+  const bool digit = c >= '0' && c <= '9';
+  return letter || digit ||
+         std::string_view("._:/-").find(c) != std::string_view::npos;
+}
+
+bool IsHexDigit(char c) {
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+}
+
+// ReadNumber sets `into` when `value` is a whole number in [least, most].
+template <typename Number>
+void ReadNumber(const Json& value, std::string_view place, int64_t least,
+                int64_t most, Number& into, Findings& findings) {
+  const bool fits = value.is_number_integer() &&
+                    (!value.is_number_unsigned() ||
+                     value.get<uint64_t>() <= static_cast<uint64_t>(most));
+  if (fits && value.get<int64_t>() >= least && value.get<int64_t>() <= most) {
+    into = static_cast<Number>(value.get<int64_t>());
+    return;
+  }
+  findings.Add(std::string(place), value.dump(),
+               "a whole number from " + std::to_string(least) + " to " +
+                   std::to_string(most));
+}
+
+// ReadTexts calls `add(text, place)` for each text of a list.
+template <typename Add>
+void ReadTexts(const Json& value, const std::string& place, Findings& findings,
+               Add add) {
+  if (!value.is_array() || value.size() > kListLimit) {
+    findings.Add(place, value.is_array() ? "a longer list" : value.dump(),
+                 "a list of at most " + std::to_string(kListLimit) + " texts");
+    return;
+  }
+  for (size_t i = 0; i < value.size(); ++i) {
+    const std::string item = place + "/" + std::to_string(i);
+    if (value[i].is_string()) {
+      add(value[i].get<std::string>(), item);
+    } else {
+      findings.Add(item, value[i].dump(), "a text");
+    }
+  }
+}
+
+template <typename Id>
+void ReadNames(const Json& value, const std::string& place,
+               std::vector<Id>& into, Findings& findings) {
+  ReadTexts(value, place, findings,
+            [&](const std::string& text, const std::string& item) {
+              CheckName(item, text, findings);
+              into.emplace_back(text);
+            });
+}
+
+void ReadKeyHashes(const Json& value, const std::string& place,
+                   std::vector<std::string>& into, Findings& findings) {
+  ReadTexts(value, place, findings,
+            [&](const std::string& text, const std::string& item) {
+              const bool valid = text.size() == kKeyHashLength &&
+                                 std::ranges::all_of(text, IsHexDigit);
+              if (!valid) {
+                findings.Add(item, "", "64 lower-case hexadecimal digits");
+              }
+              into.push_back(text);
+            });
+}
+
+// ReadField reads one member of the object; false if its name is unknown.
+bool ReadField(const std::string& name, const Json& value, Contract& contract,
+               Findings& findings) {
+  const std::string place = "/" + name;
+  const auto number = [&](auto& into, int64_t least, int64_t most) {
+    ReadNumber(value, place, least, most, into, findings);
+    return true;
+  };
+  if (name == "weight") return number(contract.weight, 1, 1'000'000);
+  if (name == "requests_per_second") {
+    return number(contract.requests_per_second, 0, kLargest32);
+  }
+  if (name == "concurrency") return number(contract.concurrency, 0, kLargest32);
+  if (name == "queue_length") {
+    return number(contract.queue_length, 0, kLargest32);
+  }
+  if (name == "tokens_per_minute") {
+    return number(contract.tokens_per_minute, 0, kLargest64);
+  }
+  if (name == "deadline_ms") return number(contract.deadline_ms, 1, 3'600'000);
+  if (name == "answer_keep_s") {
+    return number(contract.answer_keep_s, 1, 604'800);
+  }
+  if (name == "answer_keep_bytes") {
+    return number(contract.answer_keep_bytes, 0, 1 << 20);
+  }
+  if (name == "services") {
+    ReadNames(value, place, contract.services, findings);
+    return true;
+  }
+  if (name == "regions") {
+    ReadNames(value, place, contract.regions, findings);
+    return true;
+  }
+  if (name == "key_hashes") {
+    ReadKeyHashes(value, place, contract.key_hashes, findings);
+    return true;
+  }
+  return false;
+}
+
+// ReadOrganisation checks that the document names the contract's own
+// organisation.
+void ReadOrganisation(const Json& value, const Contract& contract,
+                      Findings& findings) {
+  if (value == contract.organisation.value) return;
+  findings.Add("/organisation", value.dump(),
+               "\"" + contract.organisation.value + "\", or no such field");
+}
+
+template <typename Id>
+Json Texts(const std::vector<Id>& ids) {
+  Json list = Json::array();
+  for (const Id& id : ids) list.push_back(id.value);
+  return list;
+}
+
+}  // namespace
+
+void CheckName(std::string_view place, std::string_view name,
+               Findings& findings) {
+  const bool valid = !name.empty() && name.size() <= kNameLimit &&
+                     std::ranges::all_of(name, IsNameCharacter);
+  if (valid) return;
+  findings.Add(std::string(place), std::string(name.substr(0, kNameLimit)),
+               "1 to 128 letters, digits, '.', '_', ':', '/' or '-'");
+}
+
+std::optional<Contract> ParseContract(const OrganisationId& organisation,
+                                      std::string_view json,
+                                      Findings& findings) {
+  Findings own;
+  Contract contract{.organisation = organisation};
+  CheckName("organisation", organisation.value, own);
+  const Json document = Json::parse(json, nullptr, /*allow_exceptions=*/false);
+  if (!document.is_object()) {
+    own.Add("/", document.is_discarded() ? "malformed JSON" : document.dump(),
+            "a JSON object");
+  } else {
+    for (const auto& [name, value] : document.items()) {
+      if (name == "organisation") {
+        ReadOrganisation(value, contract, own);
+      } else if (!ReadField(name, value, contract, own)) {
+        own.Add("/" + name, "", "no such field in a contract");
+      }
+    }
+  }
+  findings.Merge("", own);
+  if (!own.empty()) return std::nullopt;
+  return contract;
+}
+
+std::string ToJson(const Contract& contract) {
+  return Json{{"organisation", contract.organisation.value},
+              {"weight", contract.weight},
+              {"requests_per_second", contract.requests_per_second},
+              {"concurrency", contract.concurrency},
+              {"queue_length", contract.queue_length},
+              {"tokens_per_minute", contract.tokens_per_minute},
+              {"services", Texts(contract.services)},
+              {"regions", Texts(contract.regions)},
+              {"key_hashes", contract.key_hashes},
+              {"deadline_ms", contract.deadline_ms},
+              {"answer_keep_s", contract.answer_keep_s},
+              {"answer_keep_bytes", contract.answer_keep_bytes}}
+      .dump();
+}
+
+std::string_view ToText(TargetIntent intent) {
+  switch (intent) {
+    case TargetIntent::kServing:
+      return "serving";
+    case TargetIntent::kLeaving:
+      return "leaving";
+    case TargetIntent::kStopped:
+      return "stopped";
+  }
+  return "";
+}
+
+std::optional<TargetIntent> ParseTargetIntent(std::string_view text) {
+  if (text == "serving") return TargetIntent::kServing;
+  if (text == "leaving") return TargetIntent::kLeaving;
+  if (text == "stopped") return TargetIntent::kStopped;
+  return std::nullopt;
+}
+
+}  // namespace samphirebank::contracts
--- a/samphirebank/contracts/contracts.h
+++ b/samphirebank/contracts/contracts.h
@@ -4,14 +4,30 @@
 // declarations about targets, and the scheduler assignments of pools.
 //
 // `Configuration` is the state every router holds; it only moves forward, one
-// revision for each accepted change.
+// revision for each accepted change. `Machine` is the replicated state machine
+// that turns commands into changes.
+//
+// Example:
+//
+//   Findings findings;
+//   std::optional<Contract> contract = ParseContract(id, json, findings);
+//   Machine machine;
+//   Outcome outcome = Apply(machine, Command{.change = ChangeId("c-1"),
+//                                            .expected = Revision(0),
+//                                            .action =
+//                                            PutContract{*contract}});
+//
+// Nothing here is thread-safe, and nothing reads a clock.
 #ifndef SAMPHIREBANK_CONTRACTS_CONTRACTS_H_
 #define SAMPHIREBANK_CONTRACTS_CONTRACTS_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "samphirebank/base/base.h"
@@ -98,6 +114,213 @@
 // KeyHash returns the hex digest under which an API key is stored.
 std::string KeyHash(std::string_view api_key);
 
+// ParseContract reads the contract of `organisation` from a JSON object. Every
+// fault goes into `findings` with its place as a JSON pointer; unknown fields
+// are faults. Returns nothing when there is at least one fault.
+std::optional<Contract> ParseContract(const OrganisationId& organisation,
+                                      std::string_view json,
+                                      Findings& findings);
+
+// ToJson returns the contract as the JSON object that ParseContract reads.
+std::string ToJson(const Contract& contract);
+
+// CheckName adds a finding unless `name` is 1 to 128 letters, digits, '.',
+// '_', ':', '/' or '-'.
+void CheckName(std::string_view place, std::string_view name,
+               Findings& findings);
+
+// ToText returns "serving", "leaving" or "stopped".
+std::string_view ToText(TargetIntent intent);
+
+// ParseTargetIntent reads what ToText writes; nothing for another text.
+std::optional<TargetIntent> ParseTargetIntent(std::string_view text);
+
+// PutContract creates or replaces the contract of its organisation.
+struct PutContract {
+  Contract contract;
+
+  friend bool operator==(const PutContract&, const PutContract&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(contract);
+  }
+};
+
+// WithdrawContract removes the contract of an organisation.
+struct WithdrawContract {
+  OrganisationId organisation;
+
+  friend bool operator==(const WithdrawContract&,
+                         const WithdrawContract&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(organisation);
+  }
+};
+
+// DeclareTarget states what operators intend with a target.
+struct DeclareTarget {
+  TargetId target;
+  TargetIntent intent = TargetIntent::kServing;
+
+  friend bool operator==(const DeclareTarget&, const DeclareTarget&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(target, intent);
+  }
+};
+
+// AssignScheduler gives a pool's scheduler to an instance. The epoch has to be
+// greater than the one that stands.
+struct AssignScheduler {
+  PoolId pool;
+  SchedulerAssignment assignment;
+
+  friend bool operator==(const AssignScheduler&,
+                         const AssignScheduler&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(pool, assignment);
+  }
+};
+
+// Action is what a command does to the one record that it names.
+using Action =
+    std::variant<PutContract, WithdrawContract, DeclareTarget, AssignScheduler>;
+
+// Command is a change that somebody asks for.
+struct Command {
+  ChangeId change;     // the same in each attempt of one change
+  std::string author;  // shown to whoever loses a race against this command
+  // expected is the revision that the record must have; 0 if it must not
+  // exist; without a value the record's revision does not matter.
+  std::optional<Revision> expected;
+  Action action;
+
+  friend bool operator==(const Command&, const Command&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(change, author, expected, action);
+  }
+};
+
+// Verdict says what became of a command.
+enum class Verdict : uint8_t {
+  kAccepted,
+  kConflict,      // the record does not have the expected revision
+  kChangeReused,  // the change id was used for another command before
+};
+
+// Outcome is the answer to a command.
+struct Outcome {
+  Verdict verdict = Verdict::kAccepted;
+  // revision is the one that the command made (kAccepted) or the one that the
+  // record has (kConflict; 0 if it does not exist).
+  Revision revision;
+  // winner and winner_author name the change that wrote what stands, as long
+  // as it is among the kKeptChanges newest (kConflict).
+  ChangeId winner;
+  std::string winner_author;
+
+  friend bool operator==(const Outcome&, const Outcome&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(verdict, revision, winner, winner_author);
+  }
+};
+
+// Change is an accepted action with the revision that it made.
+struct Change {
+  Revision revision;
+  Action action;
+
+  friend bool operator==(const Change&, const Change&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(revision, action);
+  }
+};
+
+// History is a configuration with the newest changes that led to it, in the
+// order of their revisions and without a gap.
+struct History {
+  Configuration configuration;
+  std::deque<Change> changes;
+
+  friend bool operator==(const History&, const History&) = default;
+};
+
+// kKeptChanges is how many changes a History keeps.
+inline constexpr size_t kKeptChanges = 4096;
+
+// ChangesSince returns at most `limit` changes that follow `have`, or nothing
+// if the history does not reach back that far. A `have` in the future gives an
+// empty list.
+std::optional<std::vector<Change>> ChangesSince(const History& history,
+                                                Revision have, size_t limit);
+
+// ApplyChange moves the history forward by one change. Returns false, and
+// changes nothing, unless the change's revision is the next one.
+bool ApplyChange(History& history, const Change& change);
+
+// ApplyChanges applies those of `changes` that are new. Returns false once
+// there is a gap; older changes are skipped, so the history never goes back.
+bool ApplyChanges(History& history, const std::vector<Change>& changes);
+
+// kRememberedOutcomes is how many outcomes of commands a Machine remembers.
+inline constexpr size_t kRememberedOutcomes = 8192;
+
+// Machine is the replicated state machine: the same commands in the same order
+// give the same machine on each instance.
+struct Machine {
+  // Writer names the change that made a revision.
+  struct Writer {
+    ChangeId change;
+    std::string author;
+
+    friend bool operator==(const Writer&, const Writer&) = default;
+  };
+  // Remembered is a command's first outcome.
+  struct Remembered {
+    uint64_t digest = 0;  // of the command
+    Outcome outcome;
+
+    friend bool operator==(const Remembered&, const Remembered&) = default;
+  };
+
+  History history;
+  std::deque<Writer> writers;  // of history.changes, one each
+  std::map<ChangeId, Remembered> remembered;
+  std::deque<ChangeId> remembered_order;  // the oldest first
+
+  friend bool operator==(const Machine&, const Machine&) = default;
+};
+
+// Apply carries out a command. A command whose change id is remembered changes
+// nothing and gets its first outcome again.
+Outcome Apply(Machine& machine, const Command& command);
+
+// RememberedOutcome returns the first outcome of `command` if it was applied.
+std::optional<Outcome> RememberedOutcome(const Machine& machine,
+                                         const Command& command);
+
+// EncodeCommand and DecodeCommand are the form of a command in the log;
+// DecodeCommand returns nothing for malformed bytes.
+std::string EncodeCommand(const Command& command);
+std::optional<Command> DecodeCommand(std::string_view bytes);
+
+// EncodeMachine and DecodeMachine are the form of a machine in a snapshot;
+// DecodeMachine returns nothing for malformed bytes.
+std::string EncodeMachine(const Machine& machine);
+std::optional<Machine> DecodeMachine(std::string_view bytes);
+
 }  // namespace samphirebank::contracts
 
 #endif  // SAMPHIREBANK_CONTRACTS_CONTRACTS_H_
