--- /dev/null
+++ b/samphirebank/queue/queue.h
@@ -0,0 +1,222 @@
+// File: queue.h
+//
+// The waiting requests of one entry router: filed by (pool, organisation),
+// first in first out within an organisation. It tells each pool's scheduler
+// what changed and turns grants into dispatches. No I/O; the present time is
+// an argument.
+//
+// Example:
+//
+//   queue::State state;
+//   queue::OnEpoch(state, pool, epoch, now);
+//   if (auto refusal = queue::Enqueue(state, request, limits, now)) {
+//     ...  // answer the caller: not run, come back after refusal->retry_after
+//   }
+//   if (queue::NextDemandAt(state, pool) <= now) {
+//     send(queue::BuildDemand(state, pool, now));
+//   }
+//   for (auto& dispatch : queue::ApplyGrant(state, grant, now)) {
+//     ...  // send to dispatch.address before dispatch.expires
+//   }
+//   queue::OnProgress(state, request_id, tokens_so_far, now);
+//   queue::OnEnd(state, request_id, {.tokens = all, .failed = false}, now);
+//
+// Not thread-safe: one thread per state.
+#ifndef SAMPHIREBANK_QUEUE_QUEUE_H_
+#define SAMPHIREBANK_QUEUE_QUEUE_H_
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "samphirebank/base/base.h"
+#include "samphirebank/net/net.h"
+#include "samphirebank/sharing/sharing.h"
+
+namespace samphirebank::queue {
+
+// Options sets the pace of demands and the bounds of memory.
+struct Options {
+  net::SocketAddress reply_to;  // this router's peer address
+  // Least time between two demands to one pool.
+  Duration demand_spacing = std::chrono::milliseconds(4);
+  // Longest delay of a change in usage, while nothing waits in the pool.
+  Duration usage_interval = std::chrono::milliseconds(500);
+  // A demand is sent at least this often while anything waits or runs.
+  Duration keepalive = std::chrono::milliseconds(1000);
+  // Changes that were not acknowledged are sent again after this time.
+  Duration resend_after = std::chrono::milliseconds(250);
+  uint32_t max_waiting = 50'000;  // requests, over all pools
+};
+
+// Request is what the queue knows of a caller's request.
+struct Request {
+  RequestId id;
+  PoolId pool;
+  OrganisationId organisation;
+  Tokens estimate;      // of the whole cost; a hint
+  uint64_t prefix = 0;  // hash of the prompt's prefix; 0: none
+  TimePoint deadline;   // to be dispatched by
+};
+
+// RefusalKind says why a request was refused before it ran.
+enum class RefusalKind : uint8_t {
+  kQueueFull,     // beyond the contract's queue length
+  kRouterFull,    // this router holds as many requests as it can
+  kHopeless,      // would not be dispatched within its deadline
+  kDeadlinePast,  // waited until its deadline
+};
+
+// Refusal tells a caller that its request did not run.
+struct Refusal {
+  RequestId id;
+  RefusalKind kind = RefusalKind::kQueueFull;
+  Duration retry_after{};
+};
+
+// Limits are those of the organisation's contract that bind the queue.
+struct Limits {
+  uint32_t queue_length = 0;  // requests waiting over the fleet; 0: no limit
+};
+
+// Dispatch lets the router send one request to one target. No byte of it may
+// leave after `expires`; call Return then.
+struct Dispatch {
+  RequestId id;
+  TargetId target;
+  net::SocketAddress address;
+  Epoch epoch;
+  bool far = false;  // the target is in another region
+  TimePoint expires;
+};
+
+// Outcome is how a dispatched request ended.
+struct Outcome {
+  Tokens tokens;  // its true cost
+  bool failed = false;
+};
+
+// WaitingRequest is a request in a queue.
+struct WaitingRequest {
+  Request request;
+  TimePoint since;
+};
+
+// OrganisationQueue is one organisation's requests for one pool.
+struct OrganisationQueue {
+  uint32_t generation = 0;
+  std::list<WaitingRequest> waiting;
+  int64_t waiting_estimate = 0;  // tokens, sum
+  uint32_t running = 0;
+  int64_t charged = 0;  // tokens
+  double counter = 0;
+  uint32_t waiting_elsewhere = 0;
+  TimePoint elsewhere_until;     // when waiting_elsewhere is forgotten
+  Duration dispatch_interval{};  // smoothed; 0: not known
+  TimePoint last_dispatch;       // or when the queue became non-empty
+  uint64_t sent_in = 0;          // newest demand that told its state
+  bool changed = true;           // since that demand
+};
+
+// TargetRecord is what this router runs on one target.
+struct TargetRecord {
+  uint32_t running = 0;
+  uint32_t failed = 0;
+  uint64_t tokens = 0;
+  uint64_t sent_in = 0;
+  bool changed = true;
+};
+
+// PoolQueue is all that this router knows of one pool.
+struct PoolQueue {
+  Epoch epoch;
+  bool full_due = true;
+  bool backlogged = false;  // by the scheduler's word
+  uint64_t last_sequence = 0;
+  sharing::Receipts grants;               // received
+  sharing::Receipts confirmed;            // demands received by the scheduler
+  std::map<uint64_t, TimePoint> sent_at;  // of recent demands
+  std::map<OrganisationId, OrganisationQueue> organisations;
+  std::map<TargetId, TargetRecord> targets;
+  std::set<OrganisationId> unsettled;    // changed or not confirmed
+  std::set<TargetId> unsettled_targets;  // changed or not confirmed
+  TimePoint last_sent;
+  bool news = false;        // something the scheduler should hear at once
+  bool usage_news = false;  // something it should hear soon
+  bool to_answer = false;   // a grant came that no demand has confirmed
+  TimePoint usage_since;    // of the oldest unsent usage change
+};
+
+// RunningRequest is a dispatched request.
+struct RunningRequest {
+  Request request;
+  TargetId target;
+  TimePoint since;      // of its enqueueing
+  int64_t charged = 0;  // tokens
+  int64_t seen = 0;     // tokens
+};
+
+// State is the queues of one entry router.
+struct State {
+  Options options;
+  std::map<PoolId, PoolQueue> pools;
+  std::unordered_map<RequestId, RunningRequest> running;
+  // Where a waiting request stands.
+  std::unordered_map<RequestId, std::list<WaitingRequest>::iterator> waiting;
+  std::set<std::pair<TimePoint, RequestId>> deadlines;  // of those waiting
+  uint32_t last_generation = 0;
+};
+
+// OnEpoch takes a pool's scheduler assignment from the configuration. Grants
+// of other epochs are refused from now on and a full demand becomes due.
+void OnEpoch(State& state, const PoolId& pool, Epoch epoch, TimePoint now);
+
+// Enqueue files a request, or refuses it at once.
+std::optional<Refusal> Enqueue(State& state, const Request& request,
+                               const Limits& limits, TimePoint now);
+
+// Remove forgets a waiting request whose caller went away; false if it does
+// not wait.
+bool Remove(State& state, const RequestId& id, TimePoint now);
+
+// Expire removes and returns the waiting requests whose deadline is past.
+std::vector<Refusal> Expire(State& state, TimePoint now);
+
+// NextDemandAt is when BuildDemand should be called for `pool`; nothing while
+// there is nothing to tell.
+std::optional<TimePoint> NextDemandAt(const State& state, const PoolId& pool);
+
+// NextDeadlineAt is when Expire should be called.
+std::optional<TimePoint> NextDeadlineAt(const State& state);
+
+// BuildDemand returns the message for the pool's scheduler and counts it as
+// sent. Only call it for pools that OnEpoch was called for.
+sharing::Demand BuildDemand(State& state, const PoolId& pool, TimePoint now);
+
+// ApplyGrant takes a scheduler's message and returns what may be dispatched.
+// A grant of another epoch, seen before, expired, or that answers no known
+// demand gives nothing. What is returned counts as running until OnEnd or
+// Return. A grant that finds no waiting request goes back to the scheduler
+// with the next demand.
+std::vector<Dispatch> ApplyGrant(State& state, const sharing::Grant& grant,
+                                 TimePoint now);
+
+// Return puts a dispatched request of which no byte was sent back to the head
+// of its queue.
+void Return(State& state, const RequestId& id, TimePoint now);
+
+// OnProgress tells the tokens of a running request so far.
+void OnProgress(State& state, const RequestId& id, Tokens seen, TimePoint now);
+
+// OnEnd settles a running request; unknown ids are ignored.
+void OnEnd(State& state, const RequestId& id, const Outcome& outcome,
+           TimePoint now);
+
+}  // namespace samphirebank::queue
+
+#endif  // SAMPHIREBANK_QUEUE_QUEUE_H_
--- /dev/null
+++ b/samphirebank/sharing/sharing.h
@@ -0,0 +1,238 @@
+// File: sharing.h
+//
+// The messages by which entry routers and pool schedulers share out targets.
+//
+// An entry router sends `Demand` to the scheduler of a pool; the scheduler
+// answers with `Grant`. Any router forwards a target's `TargetState` to the
+// scheduler of the target's pool. Schedulers of one service in two regions
+// exchange `CounterShare`.
+//
+// Messages may be lost, doubled, reordered or late. All numbers are therefore
+// absolute or cumulative, each side says which messages it received
+// (`Receipts`), and spans of time are stated instead of clock readings.
+//
+// Example:
+//
+//   Receipts receipts;
+//   if (!receipts.Add(demand.sequence)) return;  // seen before, or too old
+#ifndef SAMPHIREBANK_SHARING_SHARING_H_
+#define SAMPHIREBANK_SHARING_SHARING_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "samphirebank/base/base.h"
+#include "samphirebank/contracts/contracts.h"
+#include "samphirebank/net/net.h"
+#include "samphirebank/wire/wire.h"
+
+namespace samphirebank::sharing {
+
+// Receipts says which sequence numbers (from 1) were received: the newest and
+// which of the 64 before it.
+struct Receipts {
+  uint64_t newest = 0;
+  uint64_t before = 0;  // bit i: number newest - 1 - i was received
+
+  // Add records `sequence`; false if it was recorded before or is too old to
+  // tell.
+  bool Add(uint64_t sequence);
+
+  // Contains says whether `sequence` is known to be received.
+  bool Contains(uint64_t sequence) const;
+
+  friend bool operator==(const Receipts&, const Receipts&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(newest, before);
+  }
+};
+
+// OrganisationDemand is the state of one organisation's requests for one pool
+// at one router.
+struct OrganisationDemand {
+  OrganisationId organisation;
+  // Numbers the router's record; `charged` counts from 0 in each generation.
+  uint32_t generation = 0;
+  uint32_t waiting = 0;        // requests
+  uint32_t running = 0;        // requests
+  uint32_t estimate = 0;       // tokens, mean over the waiting requests
+  uint32_t oldest_age_ms = 0;  // of the request that waits longest
+  uint64_t prefix = 0;         // hash of that request's prefix; 0: none
+  int64_t charged = 0;         // tokens: seen or, while more, estimated
+  double counter = 0;          // the newest counter a grant told this router
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(organisation, generation, waiting, running, estimate, oldest_age_ms,
+            prefix, charged, counter);
+  }
+};
+
+// TargetUse is what one router runs on one target; the totals are cumulative
+// since the router's process started.
+struct TargetUse {
+  TargetId target;
+  uint32_t running = 0;  // requests
+  uint32_t failed = 0;   // requests, total
+  uint64_t tokens = 0;   // seen from the target, total
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(target, running, failed, tokens);
+  }
+};
+
+// Demand tells a scheduler what changed at one router. A full one tells all.
+struct Demand {
+  static constexpr wire::Kind kKind = wire::Kind::kDemand;
+  PoolId pool;
+  Epoch epoch;
+  uint64_t sequence = 0;
+  bool full = false;
+  net::SocketAddress reply_to;  // set in full demands
+  Receipts grants;
+  std::vector<OrganisationDemand> organisations;
+  std::vector<TargetUse> targets;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(pool, epoch, sequence, full, reply_to, grants, organisations,
+            targets);
+  }
+};
+
+// GrantItem lets a router dispatch `count` requests of one organisation.
+struct GrantItem {
+  OrganisationId organisation;
+  TargetId target;
+  net::SocketAddress address;
+  uint32_t count = 0;
+  bool far = false;    // the target is in another region
+  double counter = 0;  // the organisation's, after this grant
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(organisation, target, address, count, far, counter);
+  }
+};
+
+// QueueNotice tells a router how much of an organisation waits elsewhere, so
+// that the contract's queue length holds over the fleet.
+struct QueueNotice {
+  OrganisationId organisation;
+  uint32_t waiting_elsewhere = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(organisation, waiting_elsewhere);
+  }
+};
+
+// Grant answers the newest received demand of one router. Its items expire
+// `expires_ms` after it was made, and it was made no earlier than `held_ms`
+// after that demand was sent.
+struct Grant {
+  static constexpr wire::Kind kKind = wire::Kind::kGrant;
+  PoolId pool;
+  Epoch epoch;
+  uint64_t sequence = 0;
+  Receipts demands;
+  uint32_t held_ms = 0;
+  uint32_t expires_ms = 0;
+  bool full_wanted = false;  // the next demand must be full
+  bool backlogged = false;   // requests wait: report ends at once
+  std::vector<GrantItem> items;
+  std::vector<QueueNotice> notices;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(pool, epoch, sequence, demands, held_ms, expires_ms, full_wanted,
+            backlogged, items, notices);
+  }
+};
+
+// TargetState is a target's own report. A target that restarts has a greater
+// incarnation; within one, a greater sequence is newer.
+struct TargetState {
+  static constexpr wire::Kind kKind = wire::Kind::kTargetState;
+  PoolId pool;
+  TargetId target;
+  net::SocketAddress address;
+  uint64_t incarnation = 0;
+  uint64_t sequence = 0;
+  contracts::TargetIntent intent = contracts::TargetIntent::kServing;
+  uint32_t slots = 0;    // requests it says it can batch; 0: unknown
+  uint32_t running = 0;  // requests in its batch
+  uint32_t waiting = 0;  // requests admitted but not in its batch
+  uint32_t age_ms = 0;   // of this reading when it was forwarded
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(pool, target, address, incarnation, sequence, intent, slots,
+            running, waiting, age_ms);
+  }
+};
+
+// OrganisationShare is the service that one region gave an organisation.
+struct OrganisationShare {
+  OrganisationId organisation;
+  uint32_t generation = 0;  // numbers the sender's record
+  int64_t charged = 0;      // tokens since that record began
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(organisation, generation, charged);
+  }
+};
+
+// SlotLoan lets the other region's scheduler use slots of one target.
+struct SlotLoan {
+  TargetId target;
+  net::SocketAddress address;
+  uint32_t slots = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(target, address, slots);
+  }
+};
+
+// LoanUse is how many requests run, or may start, on a loaned target.
+struct LoanUse {
+  TargetId target;
+  uint32_t running = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(target, running);
+  }
+};
+
+// CounterShare is what the scheduler of a service in one region tells the one
+// in another: service to backlogged organisations, and spare slots.
+struct CounterShare {
+  static constexpr wire::Kind kKind = wire::Kind::kCounterShare;
+  PoolId pool;  // the sender's
+  Epoch epoch;
+  uint64_t sequence = 0;
+  uint64_t answers = 0;      // newest share received from the other side
+  uint32_t held_ms = 0;      // since that share arrived
+  uint32_t expires_ms = 0;   // of the loans, as in Grant
+  bool wants_slots = false;  // saturated: asks for loans
+  std::vector<OrganisationShare> organisations;
+  std::vector<SlotLoan> loans;
+  std::vector<LoanUse> uses;  // of the receiver's loans
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(pool, epoch, sequence, answers, held_ms, expires_ms, wants_slots,
+            organisations, loans, uses);
+  }
+};
+
+}  // namespace samphirebank::sharing
+
+#endif  // SAMPHIREBANK_SHARING_SHARING_H_
