Add the interfaces of outcome, claims, retry and relay

The router's shell, the control process and these libraries are written at the same time, so their headers come first.

--- /dev/null
+++ b/samphirebank/claims/claims.cc
@@ -0,0 +1,1 @@
+#include "samphirebank/claims/claims.h"
--- /dev/null
+++ b/samphirebank/outcome/outcome.cc
@@ -0,0 +1,1 @@
+#include "samphirebank/outcome/outcome.h"
--- /dev/null
+++ b/samphirebank/relay/relay.cc
@@ -0,0 +1,1 @@
+#include "samphirebank/relay/relay.h"
--- /dev/null
+++ b/samphirebank/retry/retry.cc
@@ -0,0 +1,1 @@
+#include "samphirebank/retry/retry.h"
