--- a/samphirebank/claims/claims.cc
+++ b/samphirebank/claims/claims.cc
@@ -1,1 +1,190 @@
 #include "samphirebank/claims/claims.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "samphirebank/claims/internal/entries.h"
+
+namespace samphirebank::claims {
+namespace {
+
+bool IsRunning(const Entry& entry) {
+  return entry.phase == Phase::kRunning || entry.phase == Phase::kOrphaned;
+}
+
+bool HasRoom(const State& state, const OrganisationId& organisation) {
+  const auto found = state.usage.find(organisation);
+  const uint32_t own = found == state.usage.end() ? 0 : found->second.claims;
+  return own < state.limits.claims_per_organisation &&
+         state.total.claims < state.limits.claims;
+}
+
+bool CanKeep(const State& state, const ClaimKey& key, const Entry& entry,
+             const RecordedAnswer& answer) {
+  const uint64_t size = internal::AnswerSize(answer);
+  if (entry.keep.age_s == 0 || size > entry.keep.bytes) return false;
+  const auto found = state.usage.find(key.organisation);
+  const uint64_t own =
+      found == state.usage.end() ? 0 : found->second.answer_bytes;
+  return own + size <= state.limits.answer_bytes_per_organisation &&
+         state.total.answer_bytes + size <= state.limits.answer_bytes;
+}
+
+LogTime ExpiryAfter(const State& state, uint64_t age_ms) {
+  return state.clock + LogTime(age_ms);
+}
+
+// UncertainExpiry applies to claims that may still run: their age is never
+// below the limit, whatever the contract says.
+LogTime UncertainExpiry(const State& state, const Entry& entry) {
+  const uint64_t keep_ms = uint64_t{entry.keep.age_s} * 1000;
+  return ExpiryAfter(state, std::max(keep_ms, state.limits.uncertain_age_ms));
+}
+
+LogTime EndedExpiry(const State& state, const Entry& entry) {
+  return ExpiryAfter(state, uint64_t{entry.keep.age_s} * 1000);
+}
+
+Decision DecisionFor(const Entry& entry, const ClaimId& id) {
+  switch (entry.phase) {
+    case Phase::kRunning:
+      return entry.holder == id ? Decision::kGranted : Decision::kRunning;
+    case Phase::kOrphaned:
+      return Decision::kUnknown;
+    case Phase::kAnswered:
+      return Decision::kAnswered;
+    case Phase::kRan:
+      return Decision::kRan;
+    case Phase::kUnknown:
+      return Decision::kUnknown;
+  }
+  return Decision::kUnknown;
+}
+
+void SetPhase(State& state, const ClaimKey& key, Phase phase, LogTime expires) {
+  Entry entry = state.entries.at(key);
+  internal::Erase(state, key);
+  entry.phase = phase;
+  entry.expires = expires;
+  internal::Insert(state, key, std::move(entry));
+}
+
+void ApplyClaim(State& state, const ClaimRequest& request, const Claim& claim,
+                ClaimReply& reply) {
+  if (request.key.key.empty() || request.key.key.size() > kMaxKeyBytes) {
+    reply.decision = Decision::kInvalid;
+    return;
+  }
+  const auto found = state.entries.find(request.key);
+  if (found == state.entries.end()) {
+    if (!HasRoom(state, request.key.organisation)) {
+      reply.decision = Decision::kFull;
+      return;
+    }
+    internal::Insert(state, request.key,
+                     Entry{.holder = request.id,
+                           .digest = claim.digest,
+                           .keep = claim.keep,
+                           .phase = Phase::kRunning,
+                           .expires = LogTime(0),
+                           .answer = {}});
+    reply.decision = Decision::kGranted;
+    return;
+  }
+  if (found->second.digest != claim.digest) {
+    reply.decision = Decision::kMismatch;
+    return;
+  }
+  if (found->second.phase == Phase::kOrphaned &&
+      found->second.holder == request.id) {
+    SetPhase(state, request.key, Phase::kRunning, LogTime(0));
+  }
+  const Entry& entry = state.entries.at(request.key);
+  reply.decision = DecisionFor(entry, request.id);
+  if (reply.decision == Decision::kAnswered) reply.answer = entry.answer;
+}
+
+void ApplyEnd(State& state, const ClaimRequest& request, const End& end,
+              ClaimReply& reply) {
+  reply.decision = Decision::kEnded;
+  const auto found = state.entries.find(request.key);
+  if (found == state.entries.end()) return;
+  Entry entry = found->second;
+  if (entry.holder != request.id || !IsRunning(entry)) return;
+  internal::Erase(state, request.key);
+  switch (end.kind) {
+    case EndKind::kNotRun:
+      return;
+    case EndKind::kUnknown:
+      entry.phase = Phase::kUnknown;
+      entry.expires = UncertainExpiry(state, entry);
+      break;
+    case EndKind::kAnswer:
+      entry.phase = CanKeep(state, request.key, entry, end.answer)
+                        ? Phase::kAnswered
+                        : Phase::kRan;
+      entry.expires = EndedExpiry(state, entry);
+      if (entry.phase == Phase::kAnswered) entry.answer = end.answer;
+      break;
+  }
+  internal::Insert(state, request.key, std::move(entry));
+}
+
+ClaimReply ApplyRequest(State& state, const ClaimRequest& request) {
+  ClaimReply reply{.id = request.id,
+                   .key = request.key,
+                   .decision = Decision::kEnded,
+                   .answer = {}};
+  if (const auto* claim = std::get_if<Claim>(&request.action)) {
+    ApplyClaim(state, request, *claim, reply);
+  } else {
+    ApplyEnd(state, request, std::get<End>(request.action), reply);
+  }
+  return reply;
+}
+
+void ApplyOwnerDead(State& state, const Owner& owner) {
+  const auto found = state.running.find(owner);
+  if (found == state.running.end()) return;
+  const std::set<ClaimKey> keys = found->second;
+  for (const ClaimKey& key : keys) {
+    const LogTime expires = UncertainExpiry(state, state.entries.at(key));
+    SetPhase(state, key, Phase::kOrphaned, expires);
+  }
+}
+
+void DropExpired(State& state) {
+  while (!state.expiry.empty() && state.expiry.begin()->first <= state.clock) {
+    const ClaimKey key = state.expiry.begin()->second;
+    internal::Erase(state, key);
+  }
+}
+
+}  // namespace
+
+ClaimReply Apply(State& state, const Command& command) {
+  state.clock += LogTime(command.elapsed_ms);
+  DropExpired(state);
+  if (const auto* request = std::get_if<ClaimRequest>(&command.action)) {
+    return ApplyRequest(state, *request);
+  }
+  if (const auto* dead = std::get_if<OwnerDead>(&command.action)) {
+    ApplyOwnerDead(state, dead->owner);
+  }
+  return {};
+}
+
+Command ToCommand(ClaimRequest request, uint64_t elapsed_ms) {
+  return Command{.elapsed_ms = elapsed_ms, .action = std::move(request)};
+}
+
+std::vector<Owner> RunningOwners(const State& state) {
+  std::vector<Owner> owners;
+  owners.reserve(state.running.size());
+  for (const auto& [owner, keys] : state.running) owners.push_back(owner);
+  return owners;
+}
+
+}  // namespace samphirebank::claims
