Read settings from flags and environment variables, all faults together

Cause: every process needs its settings checked before it starts, and an operator should see all faults at once instead of one a try. Boost.Program_options stops at the first missing value, so the reader drops that flag and goes on.

--- /dev/null
+++ b/samphirebank/settings/flag_kinds.cc
@@ -0,0 +1,220 @@
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "samphirebank/settings/internal/flags.h"
+
+namespace samphirebank::settings::internal {
+namespace {
+
+constexpr size_t kMaxNameLength = 64;
+constexpr size_t kFleetKeyDigits = 64;
+constexpr size_t kMinTokenLength = 16;
+constexpr uint64_t kMaxPort = 65'535;
+
+bool IsNameCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-';
+}
+
+bool IsHexDigit(char c) {
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') ||
+         (c >= 'A' && c <= 'F');
+}
+
+bool IsIp(const std::string& text) {
+  std::array<unsigned char, sizeof(in6_addr)> address{};
+  return inet_pton(AF_INET, text.c_str(), address.data()) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), address.data()) == 1;
+}
+
+bool IsWildcard(const std::string& ip) { return ip == "0.0.0.0" || ip == "::"; }
+
+bool IsFleetKey(std::string_view text) {
+  return text.size() == kFleetKeyDigits &&
+         std::all_of(text.begin(), text.end(), IsHexDigit);
+}
+
+bool IsToken(std::string_view text) {
+  return text.size() >= kMinTokenLength &&
+         std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c <= '~'; });
+}
+
+Flag TokenFlag(std::string name, std::string help, Secret* into) {
+  return SecretFlag(std::move(name), std::move(help),
+                    "at least 16 printable characters without spaces", IsToken,
+                    into);
+}
+
+}  // namespace
+
+std::optional<uint64_t> ParseNumber(const std::string& text, Bounds bounds) {
+  uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || rest != end) return std::nullopt;
+  if (number < bounds.low || number > bounds.high) return std::nullopt;
+  return number;
+}
+
+std::optional<net::SocketAddress> ParseAddress(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  std::string ip = text.substr(0, colon);
+  const bool bracketed = ip.starts_with('[') && ip.ends_with(']');
+  if (bracketed) ip = ip.substr(1, ip.size() - 2);
+  const std::optional<uint64_t> port =
+      ParseNumber(text.substr(colon + 1), {.low = 1, .high = kMaxPort});
+  if (!IsIp(ip) || !port) return std::nullopt;
+  return net::SocketAddress{.ip = std::move(ip),
+                            .port = static_cast<uint16_t>(*port)};
+}
+
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxNameLength &&
+         std::all_of(text.begin(), text.end(), IsNameCharacter);
+}
+
+Flag SwitchFlag(std::string name, std::string help, bool* into) {
+  return Flag{.name = std::move(name),
+              .help = std::move(help),
+              .allowed = "true or false",
+              .take = [into](const std::string& value) {
+                *into = value == "true";
+                return value == "true" || value == "false";
+              }};
+}
+
+Flag TextFlag(std::string name, std::string help, std::string* into) {
+  return Flag{.name = std::move(name),
+              .argument = "TEXT",
+              .help = std::move(help),
+              .allowed = "a text that is not empty",
+              .default_value = *into,
+              .take = [into](const std::string& value) {
+                *into = value;
+                return !value.empty();
+              }};
+}
+
+Flag PortFlag(const std::string& name, const std::string& help,
+              uint16_t* into) {
+  Flag flag = NumberFlag(name, help, {.high = kMaxPort}, into);
+  flag.argument = "PORT";
+  flag.allowed += " (0: the kernel chooses)";
+  return flag;
+}
+
+Flag IpFlag(std::string name, std::string help, std::string* into) {
+  return Flag{.name = std::move(name),
+              .argument = "IP",
+              .help = std::move(help),
+              .allowed = "an IP number that others can reach",
+              .default_value = *into,
+              .take = [into](const std::string& value) {
+                *into = value;
+                return IsIp(value) && !IsWildcard(value);
+              }};
+}
+
+Flag AddressesFlag(std::string name, std::string help,
+                   std::vector<net::SocketAddress>* into) {
+  return Flag{.name = std::move(name),
+              .argument = "IP:PORT",
+              .help = std::move(help),
+              .allowed = kAddressAllowed,
+              .repeated = true,
+              .take = [into](const std::string& value) {
+                const std::optional<net::SocketAddress> address =
+                    ParseAddress(value);
+                if (address) into->push_back(*address);
+                return address.has_value();
+              }};
+}
+
+Flag MillisecondsFlag(std::string name, std::string help, Bounds bounds,
+                      Duration* into) {
+  using std::chrono::milliseconds;
+  const auto initial = std::chrono::duration_cast<milliseconds>(*into);
+  return Flag{.name = std::move(name),
+              .argument = "MS",
+              .help = std::move(help),
+              .allowed = "milliseconds from " + std::to_string(bounds.low) +
+                         " to " + std::to_string(bounds.high),
+              .default_value = std::to_string(initial.count()),
+              .take = [into, bounds](const std::string& value) {
+                const std::optional<uint64_t> number =
+                    ParseNumber(value, bounds);
+                if (number) *into = milliseconds(*number);
+                return number.has_value();
+              }};
+}
+
+Flag SecretFlag(std::string name, std::string help, std::string allowed,
+                std::function<bool(std::string_view)> valid, Secret* into) {
+  return Flag{
+      .name = std::move(name),
+      .argument = "FILE",
+      .help = std::move(help),
+      .allowed = std::move(allowed),
+      .secret = true,
+      .take = [into, valid = std::move(valid)](const std::string& value) {
+        into->value = value;
+        return valid(value);
+      }};
+}
+
+Flag Required(Flag flag) {
+  flag.required = true;
+  flag.default_value.clear();
+  return flag;
+}
+
+std::vector<Flag> IdentityFlags(Identity* into) {
+  return {
+      Required(NameFlag("instance", "this instance's id, unique in the fleet",
+                        &into->instance)),
+      Required(NameFlag("region", "the region it runs in", &into->region)),
+      Required(NameFlag("availability-zone", "the availability zone it runs in",
+                        &into->zone)),
+      IpFlag("address", "the IP number it listens on and others reach it under",
+             &into->address),
+  };
+}
+
+Flag FleetKeyFlag(Secret* into) {
+  return Required(SecretFlag("fleet-key-file",
+                             "file with the key that all instances share",
+                             "64 hexadecimal digits", IsFleetKey, into));
+}
+
+Flag TargetTokenFlag(Secret* into) {
+  return Required(TokenFlag("target-token-file",
+                            "file with the token that targets present", into));
+}
+
+Flag OperatorTokenFlag(Secret* into) {
+  return Required(TokenFlag("operator-token-file",
+                            "file with the token that operators present",
+                            into));
+}
+
+std::vector<Flag> OutputFlags(std::string* log_file, std::string* ports_file) {
+  Flag log = TextFlag("log-file", "file that events are appended to", log_file);
+  log.default_value = "standard error";
+  return {std::move(log),
+          TextFlag("ports-file",
+                   "file that receives the ports in use, as JSON, once the "
+                   "process serves",
+                   ports_file)};
+}
+
+void Append(FlagTable* table, std::vector<Flag> flags) {
+  for (Flag& flag : flags) table->flags.push_back(std::move(flag));
+}
+
+}  // namespace samphirebank::settings::internal
