--- /dev/null
+++ b/samphirebank/targets/targets_test.cc
@@ -0,0 +1,70 @@
+#include "samphirebank/targets/targets.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace samphirebank::targets {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{};
+
+Announcement Sample() {
+  return ParseAnnouncement(
+             R"({"id":"t1","region":"r","availability_zone":"z",
+                 "address":"127.0.0.1:9","slots":4,"renew_ms":1000,
+                 "services":[{"name":"m"},{"name":"s","kind":"service"}]})")
+      .announcement;
+}
+
+TEST_CASE("an announcement's faults are reported together") {
+  const ReadAnnouncement read = ParseAnnouncement(
+      R"({"id":"","region":"r","availability_zone":"z","address":"host:1",
+          "slots":-1,"renew_ms":5,"services":[{"kind":"x"}]})");
+  CHECK(read.findings.all().size() == 6);
+  CHECK(ParseAnnouncement("[1").findings.all().size() == 1);
+}
+
+TEST_CASE("an announced target is forwarded once a service, then at its pace") {
+  Registry registry;
+  Announce(registry, Sample(), 7, kStart);
+  const auto first = TakeDue(registry, kStart);
+  REQUIRE(first.size() == 2);
+  CHECK(first[0].pool == PoolId{RegionId("r"), ServiceId("m")});
+  CHECK(first[0].incarnation == 7);
+  CHECK(TakeDue(registry, kStart + milliseconds(500)).empty());
+  Announce(registry, Sample(), 900, kStart + milliseconds(600));
+  const auto renewed = TakeDue(registry, kStart + milliseconds(600));
+  REQUIRE(renewed.size() == 2);
+  CHECK(renewed[0].incarnation == 7);
+  CHECK(renewed[0].sequence == 2);
+}
+
+TEST_CASE("a leaving target is told at once; a silent one is dropped") {
+  Registry registry;
+  Announce(registry, Sample(), 7, kStart);
+  TakeDue(registry, kStart);
+  CHECK(Leave(registry, TargetId("t1"), kStart + milliseconds(1)));
+  const auto told = TakeDue(registry, kStart + milliseconds(1));
+  REQUIRE(told.size() == 2);
+  CHECK(told[0].intent == contracts::TargetIntent::kLeaving);
+  TakeDue(registry, kStart + milliseconds(4000));
+  CHECK(registry.records.empty());
+  CHECK(!ReportLoad(registry, TargetId("t1"), {}, kStart));
+}
+
+TEST_CASE("a target that announces again after leaving serves again") {
+  Registry registry;
+  Announce(registry, Sample(), 7, kStart);
+  Leave(registry, TargetId("t1"), kStart);
+  Announce(registry, Sample(), 9, kStart + milliseconds(5));
+  const auto told = TakeDue(registry, kStart + milliseconds(5));
+  REQUIRE(told.size() == 2);
+  CHECK(told[0].intent == contracts::TargetIntent::kServing);
+  CHECK(told[0].incarnation == 9);
+}
+
+}  // namespace
+}  // namespace samphirebank::targets
