Add configuration leases that travel by age

A holder counts its lease from its own time of asking less the stated age of the proof, so delay, freezing, doubling and relaying can only shorten it.

--- a/samphirebank/contracts/contracts.h
+++ b/samphirebank/contracts/contracts.h
@@ -267,7 +267,8 @@
                                                 Revision have, size_t limit);
 
 // ApplyChange moves the history forward by one change. Returns false, and
-// changes nothing, unless the change's revision is the next one.
+// changes nothing, unless the change's revision is the next one. A record with
+// a newer revision than the change's stays as it is.
 bool ApplyChange(History& history, const Change& change);
 
 // ApplyChanges applies those of `changes` that are new. Returns false once
--- a/samphirebank/contracts/history.cc
+++ b/samphirebank/contracts/history.cc
@@ -8,23 +8,36 @@
 namespace samphirebank::contracts {
 namespace {
 
+// PutRecord writes a record unless what stands is newer: records of a snapshot
+// that was fetched in pieces may be ahead of the configuration's revision.
+template <typename Records, typename Key, typename Value>
+void PutRecord(Records& records, const Key& key, const Value& value,
+               Revision revision) {
+  auto& record = records[key];
+  if (record.revision > revision) return;
+  record = {.value = value, .revision = revision};
+}
+
 void Put(Configuration& configuration, const PutContract& action) {
-  configuration.contracts[action.contract.organisation] = {
-      .value = action.contract, .revision = configuration.revision};
+  PutRecord(configuration.contracts, action.contract.organisation,
+            action.contract, configuration.revision);
 }
 
 void Put(Configuration& configuration, const WithdrawContract& action) {
-  configuration.contracts.erase(action.organisation);
+  const auto found = configuration.contracts.find(action.organisation);
+  if (found == configuration.contracts.end()) return;
+  if (found->second.revision > configuration.revision) return;
+  configuration.contracts.erase(found);
 }
 
 void Put(Configuration& configuration, const DeclareTarget& action) {
-  configuration.targets[action.target] = {.value = action.intent,
-                                          .revision = configuration.revision};
+  PutRecord(configuration.targets, action.target, action.intent,
+            configuration.revision);
 }
 
 void Put(Configuration& configuration, const AssignScheduler& action) {
-  configuration.pools[action.pool] = {.value = action.assignment,
-                                      .revision = configuration.revision};
+  PutRecord(configuration.pools, action.pool, action.assignment,
+            configuration.revision);
 }
 
 }  // namespace
--- /dev/null
+++ b/samphirebank/lease/holder_test.cc
@@ -0,0 +1,161 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "samphirebank/lease/lease.h"
+
+namespace samphirebank::lease {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const net::SocketAddress kNear{"127.0.0.1", 1};
+const net::SocketAddress kFar{"127.0.0.1", 2};
+
+TimePoint At(Duration since_start) { return TimePoint(since_start); }
+
+HolderOptions Options() {
+  return {.self = {.instance = InstanceId("r1"),
+                   .boot = BootId(1),
+                   .region = RegionId("south"),
+                   .zone = ZoneId("south-1")},
+          .controls = {{kFar, RegionId("north"), ZoneId("north-1")},
+                       {kNear, RegionId("south"), ZoneId("south-1")}}};
+}
+
+void Accept(contracts::Machine& machine, int number) {
+  contracts::Apply(machine, {.change = ChangeId("c" + std::to_string(number)),
+                             .action = contracts::PutContract{
+                                 {.organisation = OrganisationId(
+                                      "org" + std::to_string(number % 900))}}});
+}
+
+contracts::Machine MachineWith(int changes) {
+  contracts::Machine machine;
+  for (int i = 0; i < changes; ++i) Accept(machine, i);
+  return machine;
+}
+
+// Exchange lets the holder poll until nothing is due at `now`.
+void Exchange(Holder& holder, const contracts::History& history, Proof proof,
+              TimePoint now) {
+  for (const SendPoll& send : OnTimer(holder, now)) {
+    OnUpdate(holder,
+             Answer(history, proof, holder.options.terms, send.poll, now), now);
+  }
+}
+
+TEST_CASE("a lease counts from the question, less the stated age") {
+  const contracts::Machine machine = MachineWith(3);
+  Holder holder = MakeHolder(Options());
+  const auto polls = OnTimer(holder, At(seconds(10)));
+  REQUIRE(polls.size() == 1);
+  CHECK(polls[0].to == kNear);
+  const ConfigUpdate update =
+      Answer(machine.history, Proof{At(seconds(100)), Revision(3)},
+             holder.options.terms, polls[0].poll, At(seconds(101)));
+  CHECK(OnUpdate(holder, update, At(seconds(11))));
+  CHECK(holder.history == machine.history);
+  CHECK(MayAct(holder, At(milliseconds(11'990))));
+  CHECK(!MayAct(holder, At(seconds(12))));
+  CHECK(!OnUpdate(holder, update, At(seconds(11))));
+}
+
+TEST_CASE("a proof is of no use before its changes are here") {
+  const contracts::Machine machine = MachineWith(3);
+  Holder holder = MakeHolder(Options());
+  const auto poll = OnTimer(holder, At(seconds(10))).at(0).poll;
+  ConfigUpdate update =
+      Answer(machine.history, Proof{At(seconds(10)), Revision(3)},
+             holder.options.terms, poll, At(seconds(10)));
+  update.changes.pop_back();
+  OnUpdate(holder, update, At(seconds(10)));
+  CHECK(!MayAct(holder, At(seconds(10))));
+  Exchange(holder, machine.history, {At(seconds(9)), Revision(3)},
+           At(seconds(11)));
+  CHECK(MayAct(holder, At(seconds(11))));
+}
+
+TEST_CASE("whoever lacks the changes of a proof does not pass it on") {
+  const contracts::Machine machine = MachineWith(3);
+  const ConfigUpdate update =
+      Answer(machine.history, Proof{At(seconds(1)), Revision(4)}, Terms(),
+             ConfigPoll(), At(seconds(1)));
+  CHECK(!update.lease_age_ns);
+}
+
+TEST_CASE("an answer to an earlier run gives the next run no lease") {
+  HolderOptions options = Options();
+  Holder earlier = MakeHolder(options);
+  const contracts::Machine machine = MachineWith(1);
+  const auto poll = OnTimer(earlier, At(seconds(1))).at(0).poll;
+  const ConfigUpdate late =
+      Answer(machine.history, Proof{At(seconds(1)), Revision(1)}, options.terms,
+             poll, At(seconds(1)));
+  options.self.boot = BootId(2);
+  Holder later = MakeHolder(options);
+  OnTimer(later, At(seconds(60)));
+  OnUpdate(later, late, At(seconds(60)));
+  CHECK(!MayAct(later, At(seconds(60))));
+}
+
+TEST_CASE("a silent control instance is left for the next one") {
+  Holder holder = MakeHolder(Options());
+  CHECK(OnTimer(holder, At(seconds(1))).at(0).to == kNear);
+  CHECK(OnTimer(holder, At(milliseconds(1'200))).empty());
+  CHECK(OnTimer(holder, At(milliseconds(1'300))).at(0).to == kFar);
+}
+
+TEST_CASE("a snapshot comes in pieces while changes go on") {
+  contracts::Machine machine =
+      MachineWith(static_cast<int>(contracts::kKeptChanges) + 1000);
+  Holder holder = MakeHolder(Options());
+  int pieces = 0;
+  for (int i = 0; i < 100; ++i) {
+    const TimePoint now = At(milliseconds(1000 + 25 * i));
+    Exchange(holder, machine.history,
+             {now, machine.history.configuration.revision}, now);
+    if (holder.copy) ++pieces;
+    if (i < 50) Accept(machine, 10'000 + i);
+  }
+  CHECK(pieces > 2);
+  CHECK(!holder.copy);
+  const TimePoint later = At(seconds(9));
+  Exchange(holder, machine.history,
+           {later, machine.history.configuration.revision}, later);
+  CHECK(holder.history.configuration == machine.history.configuration);
+  CHECK(MayAct(holder, later));
+}
+
+TEST_CASE("a report covers all in turn and peers are near ones") {
+  Registry registry;
+  const TimePoint now = At(seconds(100));
+  for (int i = 0; i < 7; ++i) {
+    ConfigPoll poll;
+    poll.asker = {.instance = InstanceId("r" + std::to_string(i)),
+                  .region = RegionId(i < 4 ? "south" : "north"),
+                  .zone = ZoneId("z" + std::to_string(i % 2)),
+                  .address = {"127.0.0.1", static_cast<uint16_t>(i)}};
+    Hear(registry, poll, now);
+  }
+  std::map<InstanceId, int> reported;
+  for (int i = 0; i < 7; ++i) {
+    for (const auto& heard : Report(registry, 3, now)) {
+      ++reported[heard.who.instance];
+    }
+  }
+  CHECK(reported.size() == 7);
+  for (const auto& [instance, times] : reported) CHECK(times == 3);
+  const auto peers =
+      PeersFor(registry, registry.heard[InstanceId("r1")].who, 2, now);
+  REQUIRE(peers.size() == 2);
+  CHECK(peers[0].port == 3);
+  CHECK(peers[1].port == 0);
+}
+
+}  // namespace
+}  // namespace samphirebank::lease
--- /dev/null
+++ b/samphirebank/lease/snapshot_copy.cc
@@ -0,0 +1,50 @@
+#include "samphirebank/lease/internal/snapshot_copy.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "samphirebank/lease/lease.h"
+
+namespace samphirebank::lease {
+namespace {
+
+void StartCopy(Holder& holder, const SnapshotPiece& piece) {
+  Holder::SnapshotCopy copy{.oldest = piece.revision, .newest = piece.revision};
+  copy.staged.configuration.targets = piece.targets;
+  copy.staged.configuration.pools = piece.pools;
+  holder.copy = std::move(copy);
+}
+
+}  // namespace
+
+void TakePiece(Holder& holder, const SnapshotPiece& piece) {
+  if (piece.after == OrganisationId()) StartCopy(holder, piece);
+  if (!holder.copy || holder.copy->complete) return;
+  Holder::SnapshotCopy& copy = *holder.copy;
+  if (copy.after != piece.after) return;
+  for (const auto& row : piece.contracts) {
+    copy.after = row.value.organisation;
+    copy.staged.configuration.contracts[copy.after] = row;
+  }
+  copy.oldest = std::min(copy.oldest, piece.revision);
+  copy.newest = std::max(copy.newest, piece.revision);
+  if (!piece.last) return;
+  copy.complete = true;
+  copy.staged.configuration.revision = copy.oldest;
+}
+
+bool TakeChangesIntoCopy(Holder& holder,
+                         const std::vector<contracts::Change>& changes) {
+  if (!holder.copy || !holder.copy->complete) return false;
+  Holder::SnapshotCopy& copy = *holder.copy;
+  contracts::ApplyChanges(copy.staged, changes);
+  if (copy.staged.configuration.revision < copy.newest) return false;
+  const bool newer = copy.staged.configuration.revision >
+                     holder.history.configuration.revision;
+  if (newer) holder.history = std::move(copy.staged);
+  holder.copy.reset();
+  return newer;
+}
+
+}  // namespace samphirebank::lease
