Cut answers short in the lease bound test

A mutant that used a proof without its changes passed the bound test, because an answer always held all of them; now a third of the answers is cut short and the mutant falsifies it.

--- a/samphirebank/lease/answer.cc
+++ b/samphirebank/lease/answer.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr size_t kChangesPerUpdate = 512;
-constexpr size_t kContentBytes = 48 * 1024;
+constexpr size_t kContentBytes = 48'000;
 constexpr size_t kRecordBytes = 160;  // of a contract without its lists
 
 template <typename Id>
--- a/samphirebank/lease/holder.cc
+++ b/samphirebank/lease/holder.cc
@@ -36,6 +36,7 @@
   };
   std::ranges::sort(controls, {}, key);
   std::vector<net::SocketAddress> addresses;
+  addresses.reserve(controls.size() + holder.peers.size());
   for (const ControlSeed& control : controls) {
     addresses.push_back(control.address);
   }
@@ -194,7 +195,7 @@
 Duration LeaseLeft(const Holder& holder, TimePoint now) {
   if (!holder.usable) return Duration(0);
   const TimePoint end = holder.usable->basis + holder.options.terms.length;
-  return std::max(Duration(0), Duration(end - now));
+  return std::max<Duration>(Duration::zero(), end - now);
 }
 
 bool MayAct(const Holder& holder, TimePoint now) {
--- a/samphirebank/lease/lease_bound_test.cc
+++ b/samphirebank/lease/lease_bound_test.cc
@@ -112,11 +112,13 @@
     }
     const bool to_leader = message.to == kHolders;
     const Holder& holder = this->holders[to_leader ? 0 : message.to];
-    this->Send({.to = message.from,
-                .from = message.to,
-                .update = Answer(to_leader ? this->leader : holder.history,
+    ConfigUpdate update = Answer(to_leader ? this->leader : holder.history,
                                  to_leader ? this->proof : holder.usable,
-                                 Terms(), *message.poll, now)});
+                                 Terms(), *message.poll, now);
+    // As if more changes had been missed than one answer can hold.
+    if (this->Pick(3) == 0) update.changes.resize(update.changes.size() / 2);
+    this->Send(
+        {.to = message.from, .from = message.to, .update = std::move(update)});
   }
 
   void DeliverDue() {
--- a/samphirebank/lease/registry.cc
+++ b/samphirebank/lease/registry.cc
@@ -47,7 +47,7 @@
     if (next == registry.heard.end()) next = registry.heard.begin();
     const Registry::Heard& heard = next->second;
     report.push_back({.who = heard.who,
-                      .age_ns = Duration(now - heard.at).count(),
+                      .age_ns = (now - heard.at).count(),
                       .revision = heard.revision,
                       .lease_left_ns = heard.lease_left.count()});
     registry.reported = next->first;
