--- /dev/null
+++ b/samphirebank/capacity/capacity.cc
@@ -0,0 +1,73 @@
+#include "samphirebank/capacity/capacity.h"
+
+#include <algorithm>
+
+namespace samphirebank::capacity {
+namespace {
+
+double Ceiling(const State& state) {
+  const double stated = static_cast<double>(state.slots);
+  return state.slots == 0 ? state.options.largest_limit : stated;
+}
+
+void StepUp(State& state, TimePoint now) {
+  if (now - state.stepped_at < state.options.step_interval) return;
+  const double step = std::max(1.0, state.limit * state.options.step_share);
+  state.limit = std::min(state.limit + step, Ceiling(state));
+  state.stepped_at = now;
+}
+
+void StepDown(State& state, double limit, TimePoint now) {
+  state.limit = std::max(1.0, std::min(state.limit, limit));
+  state.stepped_at = now;
+}
+
+}  // namespace
+
+State Create(const Options& options, TimePoint now) {
+  return State{
+      .options = options, .limit = options.first_limit, .stepped_at = now};
+}
+
+void OnReport(State& state, const Report& report, uint32_t in_flight,
+              TimePoint now) {
+  const bool first_statement = state.slots == 0 && report.slots > 0;
+  const bool more_slots = report.slots > state.slots;
+  state.slots = report.slots;
+  if (first_statement) state.limit = Ceiling(state);
+  state.limit = std::min(state.limit, Ceiling(state));
+  const uint32_t there = report.running + report.waiting;
+  // A reading taken before the newest step says nothing about it.
+  const bool settled = now - report.age >= state.stepped_at;
+  if (report.waiting > 0) {
+    // Its batch is full: what runs is what it can carry.
+    if (settled) StepDown(state, report.running, now);
+  } else if (in_flight + 1 >= Limit(state) || more_slots) {
+    StepUp(state, now);
+  }
+  // Work of routers that are gone, or that are cut off from here.
+  state.excess = there > in_flight && settled ? there - in_flight : 0;
+}
+
+void OnObservation(State& state, const Observation& observation,
+                   TimePoint now) {
+  if (observation.ended > 0) state.failures = 0;
+  state.failures += observation.failed;
+  if (state.failures >= state.options.failures_in_row) {
+    StepDown(state, 1, now);
+    return;
+  }
+  if (observation.usual_speed <= 0) return;
+  const double share = observation.tokens_per_second / observation.usual_speed;
+  if (share >= state.options.slow_share) return;
+  if (now - state.stepped_at < state.options.step_interval) return;
+  StepDown(state, state.limit * state.options.slow_factor, now);
+}
+
+uint32_t Limit(const State& state) {
+  const auto limit = static_cast<uint32_t>(state.limit);
+  const uint32_t room = limit > state.excess ? limit - state.excess : 1;
+  return std::max<uint32_t>(1, room);
+}
+
+}  // namespace samphirebank::capacity
--- /dev/null
+++ b/samphirebank/queue/exchange.cc
@@ -0,0 +1,241 @@
+#include <algorithm>
+#include <utility>
+
+#include "samphirebank/queue/internal/records.h"
+#include "samphirebank/queue/queue.h"
+
+namespace samphirebank::queue {
+namespace {
+
+// kMaxSentTimes bounds the memory of when demands were sent.
+constexpr size_t kMaxSentTimes = 256;
+// kNoticeLife is how long a word on what waits elsewhere is believed.
+constexpr Duration kNoticeLife = std::chrono::seconds(3);
+
+uint32_t Milliseconds(Duration span) {
+  const auto count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+  return static_cast<uint32_t>(std::clamp<int64_t>(count, 0, UINT32_MAX));
+}
+
+// TellAgain says whether a record must be part of the demand made now.
+template <typename Record>
+bool TellAgain(const PoolQueue& pool, const Record& record, Duration after,
+               TimePoint now) {
+  if (pool.full_due || record.changed) return true;
+  const auto sent = pool.sent_at.find(record.sent_in);
+  return sent == pool.sent_at.end() || sent->second + after <= now;
+}
+
+sharing::OrganisationDemand Describe(const PoolQueue& pool,
+                                     const OrganisationId& id,
+                                     const OrganisationQueue& organisation,
+                                     TimePoint now) {
+  sharing::OrganisationDemand demand{
+      .organisation = id,
+      .generation = organisation.generation,
+      .waiting = static_cast<uint32_t>(organisation.waiting.size()),
+      .running = organisation.running,
+      .charged = organisation.charged,
+      .counter = organisation.counter};
+  if (organisation.waiting.empty()) return demand;
+  const WaitingRequest& oldest = organisation.waiting.front();
+  const int64_t mean = organisation.waiting_estimate /
+                       static_cast<int64_t>(organisation.waiting.size());
+  const int64_t cost = internal::PredictedCost(pool, id, mean);
+  demand.estimate = static_cast<uint32_t>(std::min<int64_t>(cost, UINT32_MAX));
+  demand.oldest_age_ms = Milliseconds(now - oldest.since);
+  demand.prefix = oldest.request.prefix;
+  return demand;
+}
+
+void TellOrganisations(const State& state, PoolQueue& pool,
+                       sharing::Demand& demand, TimePoint now) {
+  for (auto& [id, organisation] : pool.organisations) {
+    if (demand.full) pool.unsettled.insert(id);
+  }
+  for (const OrganisationId& id : pool.unsettled) {
+    OrganisationQueue& organisation = pool.organisations.at(id);
+    if (!TellAgain(pool, organisation, state.options.resend_after, now)) {
+      continue;
+    }
+    demand.organisations.push_back(Describe(pool, id, organisation, now));
+    organisation.sent_in = demand.sequence;
+    organisation.changed = false;
+  }
+}
+
+void TellTargets(const State& state, PoolQueue& pool, sharing::Demand& demand,
+                 TimePoint now) {
+  for (auto& [id, target] : pool.targets) {
+    if (demand.full) pool.unsettled_targets.insert(id);
+  }
+  for (const TargetId& id : pool.unsettled_targets) {
+    TargetRecord& target = pool.targets.at(id);
+    if (!TellAgain(pool, target, state.options.resend_after, now)) continue;
+    demand.targets.push_back(sharing::TargetUse{.target = id,
+                                                .running = target.running,
+                                                .failed = target.failed,
+                                                .tokens = target.tokens});
+    target.sent_in = demand.sequence;
+    target.changed = false;
+  }
+}
+
+// Settle forgets what the scheduler has confirmed.
+void Settle(PoolQueue& pool) {
+  std::erase_if(pool.unsettled, [&pool](const OrganisationId& id) {
+    const auto position = pool.organisations.find(id);
+    const OrganisationQueue& organisation = position->second;
+    if (organisation.changed) return false;
+    if (!pool.confirmed.Contains(organisation.sent_in)) return false;
+    if (organisation.running == 0 && organisation.waiting.empty()) {
+      pool.organisations.erase(position);
+    }
+    return true;
+  });
+  std::erase_if(pool.unsettled_targets, [&pool](const TargetId& id) {
+    const TargetRecord& target = pool.targets.at(id);
+    return !target.changed && pool.confirmed.Contains(target.sent_in);
+  });
+}
+
+// Confirm takes the scheduler's receipts into this router's.
+void Confirm(PoolQueue& pool, const sharing::Receipts& receipts) {
+  if (receipts.newest >= pool.confirmed.newest) pool.confirmed = receipts;
+  Settle(pool);
+}
+
+void TakeNotices(PoolQueue& pool, const sharing::Grant& grant, TimePoint now) {
+  for (const sharing::QueueNotice& notice : grant.notices) {
+    const auto known = pool.organisations.find(notice.organisation);
+    if (known == pool.organisations.end()) continue;
+    known->second.waiting_elsewhere = notice.waiting_elsewhere;
+    known->second.elsewhere_until = now + kNoticeLife;
+  }
+}
+
+// DispatchOne moves the oldest request of an organisation to a target.
+Dispatch DispatchOne(State& state, PoolQueue& pool,
+                     OrganisationQueue& organisation,
+                     const sharing::GrantItem& item, TimePoint now) {
+  const WaitingRequest taken = internal::TakeWaiting(
+      state, pool, organisation, organisation.waiting.begin());
+  const int64_t cost = internal::PredictedCost(pool, item.organisation,
+                                               taken.request.estimate.value);
+  organisation.running += 1;
+  organisation.charged += cost;
+  pool.running += 1;
+  TargetRecord& target = pool.targets[item.target];
+  target.running += 1;
+  internal::CountDispatch(organisation, now);
+  internal::MarkTargetChanged(pool, item.target, target, now);
+  state.running[taken.request.id] = RunningRequest{.request = taken.request,
+                                                   .target = item.target,
+                                                   .since = taken.since,
+                                                   .charged = cost};
+  return Dispatch{.id = taken.request.id,
+                  .target = item.target,
+                  .address = item.address,
+                  .far = item.far};
+}
+
+void ApplyItem(State& state, PoolQueue& pool, const sharing::GrantItem& item,
+               std::vector<Dispatch>& dispatches, TimePoint now) {
+  const auto known = pool.organisations.find(item.organisation);
+  if (known == pool.organisations.end()) {
+    pool.news = true;  // so that the scheduler hears soon that it is unused
+    return;
+  }
+  OrganisationQueue& organisation = known->second;
+  organisation.counter = item.counter;
+  uint32_t unused = item.count;
+  for (; unused > 0; --unused) {
+    if (organisation.waiting.empty()) break;
+    if (organisation.waiting.front().request.deadline <= now) break;
+    dispatches.push_back(DispatchOne(state, pool, organisation, item, now));
+  }
+  internal::MarkChanged(pool, item.organisation, organisation, unused > 0, now);
+}
+
+}  // namespace
+
+std::optional<TimePoint> NextDemandAt(const State& state, const PoolId& pool) {
+  const auto known = state.pools.find(pool);
+  if (known == state.pools.end()) return std::nullopt;
+  const PoolQueue& queue = known->second;
+  if (queue.epoch == Epoch()) return std::nullopt;
+  const Options& options = state.options;
+  const TimePoint earliest = queue.last_sent + options.demand_spacing;
+  if (queue.news) return earliest;
+  std::optional<TimePoint> due;
+  if (queue.waiting + queue.running > 0) {
+    due = queue.last_sent + options.keepalive;
+  }
+  if (!queue.unsettled.empty() || !queue.unsettled_targets.empty()) {
+    const TimePoint again = queue.last_sent + options.resend_after;
+    due = std::min(due.value_or(again), again);
+  }
+  if (queue.usage_since) {
+    const TimePoint usage =
+        std::max(earliest, *queue.usage_since + options.usage_interval);
+    due = std::min(due.value_or(usage), usage);
+  }
+  return due;
+}
+
+sharing::Demand BuildDemand(State& state, const PoolId& pool, TimePoint now) {
+  PoolQueue& queue = state.pools[pool];
+  sharing::Demand demand{.pool = pool,
+                         .epoch = queue.epoch,
+                         .sequence = ++queue.last_sequence,
+                         .full = queue.full_due,
+                         .reply_to = state.options.reply_to,
+                         .grants = queue.grants};
+  TellOrganisations(state, queue, demand, now);
+  TellTargets(state, queue, demand, now);
+  queue.full_due = false;
+  queue.news = false;
+  queue.usage_since.reset();
+  queue.last_sent = now;
+  queue.sent_at[demand.sequence] = now;
+  if (queue.sent_at.size() > kMaxSentTimes) {
+    queue.sent_at.erase(queue.sent_at.begin());
+  }
+  return demand;
+}
+
+std::vector<Dispatch> ApplyGrant(State& state, const sharing::Grant& grant,
+                                 TimePoint now) {
+  std::vector<Dispatch> dispatches;
+  const auto known = state.pools.find(grant.pool);
+  if (known == state.pools.end()) return dispatches;
+  PoolQueue& pool = known->second;
+  if (grant.epoch != pool.epoch || !pool.grants.Add(grant.sequence)) {
+    return dispatches;
+  }
+  if (grant.full_wanted) {
+    pool.full_due = true;
+    pool.news = true;
+  }
+  const auto sent = pool.sent_at.find(grant.demands.newest);
+  Confirm(pool, grant.demands);
+  if (sent == pool.sent_at.end()) return dispatches;
+  pool.backlogged = grant.backlogged;
+  TakeNotices(pool, grant, now);
+  const TimePoint expires = sent->second +
+                            std::chrono::milliseconds(grant.held_ms) +
+                            std::chrono::milliseconds(grant.expires_ms);
+  if (expires <= now) return dispatches;
+  for (const sharing::GrantItem& item : grant.items) {
+    ApplyItem(state, pool, item, dispatches, now);
+  }
+  for (Dispatch& dispatch : dispatches) {
+    dispatch.epoch = grant.epoch;
+    dispatch.expires = expires;
+  }
+  if (!grant.items.empty() && !pool.usage_since) pool.usage_since = now;
+  return dispatches;
+}
+
+}  // namespace samphirebank::queue
--- a/samphirebank/queue/queue.h
+++ b/samphirebank/queue/queue.h
@@ -26,12 +26,12 @@
 #define SAMPHIREBANK_QUEUE_QUEUE_H_
 
 #include <cstdint>
-#include <deque>
 #include <list>
 #include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "samphirebank/base/base.h"
@@ -42,7 +42,7 @@
 
 // Options sets the pace of demands and the bounds of memory.
 struct Options {
-  net::SocketAddress reply_to;  // this router's peer address
+  net::SocketAddress reply_to{};  // this router's peer address
   // Least time between two demands to one pool.
   Duration demand_spacing = std::chrono::milliseconds(4);
   // Longest delay of a change in usage, while nothing waits in the pool.
@@ -50,18 +50,18 @@
   // A demand is sent at least this often while anything waits or runs.
   Duration keepalive = std::chrono::milliseconds(1000);
   // Changes that were not acknowledged are sent again after this time.
-  Duration resend_after = std::chrono::milliseconds(250);
+  Duration resend_after = std::chrono::milliseconds(600);
   uint32_t max_waiting = 50'000;  // requests, over all pools
 };
 
 // Request is what the queue knows of a caller's request.
 struct Request {
-  RequestId id;
-  PoolId pool;
-  OrganisationId organisation;
-  Tokens estimate;      // of the whole cost; a hint
-  uint64_t prefix = 0;  // hash of the prompt's prefix; 0: none
-  TimePoint deadline;   // to be dispatched by
+  RequestId id{};
+  PoolId pool{};
+  OrganisationId organisation{};
+  Tokens estimate{};     // of the whole cost; a hint
+  uint64_t prefix = 0;   // hash of the prompt's prefix; 0: none
+  TimePoint deadline{};  // to be dispatched by
 };
 
 // RefusalKind says why a request was refused before it ran.
@@ -74,7 +74,7 @@
 
 // Refusal tells a caller that its request did not run.
 struct Refusal {
-  RequestId id;
+  RequestId id{};
   RefusalKind kind = RefusalKind::kQueueFull;
   Duration retry_after{};
 };
@@ -87,38 +87,39 @@
 // Dispatch lets the router send one request to one target. No byte of it may
 // leave after `expires`; call Return then.
 struct Dispatch {
-  RequestId id;
-  TargetId target;
-  net::SocketAddress address;
-  Epoch epoch;
+  RequestId id{};
+  TargetId target{};
+  net::SocketAddress address{};
+  Epoch epoch{};
   bool far = false;  // the target is in another region
-  TimePoint expires;
+  TimePoint expires{};
 };
 
 // Outcome is how a dispatched request ended.
 struct Outcome {
-  Tokens tokens;  // its true cost
+  Tokens tokens{};  // its true cost
   bool failed = false;
 };
 
 // WaitingRequest is a request in a queue.
 struct WaitingRequest {
-  Request request;
-  TimePoint since;
+  Request request{};
+  TimePoint since{};
 };
 
 // OrganisationQueue is one organisation's requests for one pool.
 struct OrganisationQueue {
   uint32_t generation = 0;
-  std::list<WaitingRequest> waiting;
+  std::list<WaitingRequest> waiting{};
   int64_t waiting_estimate = 0;  // tokens, sum
   uint32_t running = 0;
   int64_t charged = 0;  // tokens
   double counter = 0;
   uint32_t waiting_elsewhere = 0;
-  TimePoint elsewhere_until;     // when waiting_elsewhere is forgotten
-  Duration dispatch_interval{};  // smoothed; 0: not known
-  TimePoint last_dispatch;       // or when the queue became non-empty
+  TimePoint elsewhere_until{};   // when waiting_elsewhere is forgotten
+  double dispatch_rate = 0;      // requests a second, decaying average
+  TimePoint dispatch_rate_at{};  // when it was computed
+  TimePoint backlogged_since{};  // when the queue became non-empty
   uint64_t sent_in = 0;          // newest demand that told its state
   bool changed = true;           // since that demand
 };
@@ -134,41 +135,42 @@
 
 // PoolQueue is all that this router knows of one pool.
 struct PoolQueue {
-  Epoch epoch;
+  Epoch epoch{};
   bool full_due = true;
   bool backlogged = false;  // by the scheduler's word
   uint64_t last_sequence = 0;
-  sharing::Receipts grants;               // received
-  sharing::Receipts confirmed;            // demands received by the scheduler
-  std::map<uint64_t, TimePoint> sent_at;  // of recent demands
-  std::map<OrganisationId, OrganisationQueue> organisations;
-  std::map<TargetId, TargetRecord> targets;
-  std::set<OrganisationId> unsettled;    // changed or not confirmed
-  std::set<TargetId> unsettled_targets;  // changed or not confirmed
-  TimePoint last_sent;
-  bool news = false;        // something the scheduler should hear at once
-  bool usage_news = false;  // something it should hear soon
-  bool to_answer = false;   // a grant came that no demand has confirmed
-  TimePoint usage_since;    // of the oldest unsent usage change
+  sharing::Receipts grants{};               // received
+  sharing::Receipts confirmed{};            // demands the scheduler received
+  std::map<uint64_t, TimePoint> sent_at{};  // of recent demands
+  std::map<OrganisationId, OrganisationQueue> organisations{};
+  std::map<TargetId, TargetRecord> targets{};
+  std::map<OrganisationId, double> cost_ratio{};  // true cost by estimate
+  std::set<OrganisationId> unsettled{};           // changed or not confirmed
+  std::set<TargetId> unsettled_targets{};         // changed or not confirmed
+  TimePoint last_sent{};
+  bool news = false;                       // due at once
+  std::optional<TimePoint> usage_since{};  // of the oldest unsent usage change
+  uint64_t running = 0;                    // requests
+  uint64_t waiting = 0;                    // requests
 };
 
 // RunningRequest is a dispatched request.
 struct RunningRequest {
-  Request request;
-  TargetId target;
-  TimePoint since;      // of its enqueueing
+  Request request{};
+  TargetId target{};
+  TimePoint since{};    // of its enqueueing
   int64_t charged = 0;  // tokens
   int64_t seen = 0;     // tokens
 };
 
 // State is the queues of one entry router.
 struct State {
-  Options options;
-  std::map<PoolId, PoolQueue> pools;
-  std::unordered_map<RequestId, RunningRequest> running;
+  Options options{};
+  std::map<PoolId, PoolQueue> pools{};
+  std::unordered_map<RequestId, RunningRequest> running{};
   // Where a waiting request stands.
-  std::unordered_map<RequestId, std::list<WaitingRequest>::iterator> waiting;
-  std::set<std::pair<TimePoint, RequestId>> deadlines;  // of those waiting
+  std::unordered_map<RequestId, std::list<WaitingRequest>::iterator> waiting{};
+  std::set<std::pair<TimePoint, RequestId>> deadlines{};  // of those waiting
   uint32_t last_generation = 0;
 };
 
--- /dev/null
+++ b/samphirebank/queue/queue_test.cc
@@ -0,0 +1,196 @@
+#include "samphirebank/queue/queue.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+namespace samphirebank::queue {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const PoolId kPool{RegionId("aqaba"), ServiceId("assistant")};
+const OrganisationId kOrganisation("workshop-1");
+const TargetId kTarget("t1");
+constexpr TimePoint kStart{seconds(1000)};
+
+Request Make(const std::string& id, Duration patience = seconds(60)) {
+  return Request{.id = RequestId(id),
+                 .pool = kPool,
+                 .organisation = kOrganisation,
+                 .estimate = Tokens(100),
+                 .deadline = kStart + patience};
+}
+
+State Started() {
+  State state;
+  OnEpoch(state, kPool, Epoch(3), kStart);
+  return state;
+}
+
+// Answer makes a grant that answers the newest demand of `state`.
+sharing::Grant Answer(const State& state, uint64_t sequence, uint32_t count) {
+  const PoolQueue& pool = state.pools.at(kPool);
+  sharing::Grant grant{.pool = kPool,
+                       .epoch = pool.epoch,
+                       .sequence = sequence,
+                       .held_ms = 10,
+                       .expires_ms = 800};
+  grant.demands.newest = pool.last_sequence;
+  if (count > 0) {
+    grant.items.push_back({.organisation = kOrganisation,
+                           .target = kTarget,
+                           .count = count,
+                           .counter = 7});
+  }
+  return grant;
+}
+
+TEST_CASE("a grant dispatches the oldest requests, until it expires") {
+  State state = Started();
+  for (const char* id : {"a", "b", "c"}) {
+    CHECK(!Enqueue(state, Make(id), {}, kStart));
+  }
+  const sharing::Demand demand = BuildDemand(state, kPool, kStart);
+  CHECK(demand.full);
+  REQUIRE(demand.organisations.size() == 1);
+  CHECK(demand.organisations[0].waiting == 3);
+  const auto grant = Answer(state, 1, 2);
+  const auto dispatches = ApplyGrant(state, grant, kStart + milliseconds(20));
+  REQUIRE(dispatches.size() == 2);
+  CHECK(dispatches[0].id == RequestId("a"));
+  CHECK(dispatches[1].id == RequestId("b"));
+  CHECK(dispatches[0].expires == kStart + milliseconds(810));
+  // The same message again gives nothing.
+  CHECK(ApplyGrant(state, grant, kStart + milliseconds(21)).empty());
+  // One that arrives after its expiry gives nothing.
+  const auto late = Answer(state, 2, 1);
+  CHECK(ApplyGrant(state, late, kStart + milliseconds(810)).empty());
+  // One of an older epoch gives nothing.
+  auto old = Answer(state, 3, 1);
+  old.epoch = Epoch(2);
+  CHECK(ApplyGrant(state, old, kStart + milliseconds(30)).empty());
+  // One that answers no known demand gives nothing: its age is unknown.
+  auto unknown = Answer(state, 4, 1);
+  unknown.demands.newest = 99;
+  CHECK(ApplyGrant(state, unknown, kStart + milliseconds(30)).empty());
+}
+
+TEST_CASE("service is charged by estimate, by what is seen, and settled") {
+  State state = Started();
+  Enqueue(state, Make("a"), {}, kStart);
+  BuildDemand(state, kPool, kStart);
+  ApplyGrant(state, Answer(state, 1, 1), kStart);
+  auto charged = [&] {
+    const auto demand = BuildDemand(state, kPool, kStart);
+    REQUIRE(demand.organisations.size() == 1);
+    return demand.organisations[0].charged;
+  };
+  CHECK(charged() == 100);
+  OnProgress(state, RequestId("a"), Tokens(60), kStart);
+  OnProgress(state, RequestId("a"), Tokens(250), kStart);
+  CHECK(charged() == 250);
+  OnEnd(state, RequestId("a"), {.tokens = Tokens(260)}, kStart);
+  CHECK(charged() == 260);
+}
+
+TEST_CASE("a demand tells what changed, again until it is confirmed") {
+  State state = Started();
+  Enqueue(state, Make("a"), {}, kStart);
+  BuildDemand(state, kPool, kStart);
+  TimePoint now = kStart + milliseconds(50);
+  CHECK(BuildDemand(state, kPool, now).organisations.empty());
+  now += state.options.resend_after;
+  CHECK(BuildDemand(state, kPool, now).organisations.size() == 1);
+  ApplyGrant(state, Answer(state, 1, 0), now);
+  now += state.options.resend_after;
+  CHECK(BuildDemand(state, kPool, now).organisations.empty());
+  // A new epoch asks for everything.
+  OnEpoch(state, kPool, Epoch(4), now);
+  const auto full = BuildDemand(state, kPool, now);
+  CHECK(full.full);
+  CHECK(full.organisations.size() == 1);
+}
+
+TEST_CASE("what ended and is confirmed takes no memory") {
+  State state = Started();
+  Enqueue(state, Make("a"), {}, kStart);
+  CHECK(Remove(state, RequestId("a"), kStart));
+  CHECK(!Remove(state, RequestId("a"), kStart));
+  BuildDemand(state, kPool, kStart);
+  CHECK(state.pools.at(kPool).organisations.size() == 1);
+  ApplyGrant(state, Answer(state, 1, 0), kStart);
+  CHECK(state.pools.at(kPool).organisations.empty());
+  CHECK(state.waiting.empty());
+  CHECK(state.deadlines.empty());
+}
+
+TEST_CASE("refusals are early and true") {
+  State state = Started();
+  const Limits two{.queue_length = 2};
+  CHECK(!Enqueue(state, Make("a"), two, kStart));
+  CHECK(!Enqueue(state, Make("b", seconds(5)), two, kStart));
+  const auto full = Enqueue(state, Make("c"), two, kStart);
+  REQUIRE(full);
+  CHECK(full->kind == RefusalKind::kQueueFull);
+  CHECK(full->retry_after >= seconds(1));
+  const auto past = Enqueue(state, Make("d", seconds(0)), {}, kStart);
+  REQUIRE(past);
+  CHECK(past->kind == RefusalKind::kDeadlinePast);
+  // What waits at other routers counts.
+  BuildDemand(state, kPool, kStart);
+  auto grant = Answer(state, 1, 0);
+  grant.notices.push_back(
+      {.organisation = kOrganisation, .waiting_elsewhere = 5});
+  ApplyGrant(state, grant, kStart);
+  CHECK(Enqueue(state, Make("e"), {.queue_length = 7}, kStart));
+  CHECK(!Enqueue(state, Make("f"), {.queue_length = 8}, kStart));
+  // A request whose deadline comes is refused, not dispatched.
+  CHECK(NextDeadlineAt(state) == kStart + seconds(5));
+  const auto expired = Expire(state, kStart + seconds(5));
+  REQUIRE(expired.size() == 1);
+  CHECK(expired[0].id == RequestId("b"));
+}
+
+TEST_CASE("a request that cannot be served in time is refused at once") {
+  State state = Started();
+  for (int i = 0; i < 100; ++i) {
+    Enqueue(state, Make(std::to_string(i), seconds(600)), {}, kStart);
+  }
+  TimePoint now = kStart;
+  for (uint64_t i = 1; i <= 20; ++i) {
+    now += seconds(1);
+    BuildDemand(state, kPool, now);
+    ApplyGrant(state, Answer(state, i, 1), now);
+  }
+  // 80 wait and about one a second is dispatched.
+  Request hasty = Make("hasty");
+  hasty.deadline = now + seconds(20);
+  const auto refusal = Enqueue(state, hasty, {}, now);
+  REQUIRE(refusal);
+  CHECK(refusal->kind == RefusalKind::kHopeless);
+  CHECK(refusal->retry_after > seconds(20));
+  Request patient = Make("patient", seconds(600));
+  CHECK(!Enqueue(state, patient, {}, now));
+}
+
+TEST_CASE("a request of which no byte was sent goes back to the head") {
+  State state = Started();
+  Enqueue(state, Make("a"), {}, kStart);
+  Enqueue(state, Make("b"), {}, kStart);
+  BuildDemand(state, kPool, kStart);
+  REQUIRE(ApplyGrant(state, Answer(state, 1, 1), kStart).size() == 1);
+  Return(state, RequestId("a"), kStart);
+  const auto demand = BuildDemand(state, kPool, kStart);
+  CHECK(demand.organisations[0].waiting == 2);
+  CHECK(demand.organisations[0].running == 0);
+  CHECK(demand.organisations[0].charged == 0);
+  const auto again = ApplyGrant(state, Answer(state, 2, 1), kStart);
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].id == RequestId("a"));
+}
+
+}  // namespace
+}  // namespace samphirebank::queue
--- a/samphirebank/scheduler/scheduler.h
+++ b/samphirebank/scheduler/scheduler.h
@@ -53,16 +53,16 @@
 
 // Outgoing is a message for one router.
 struct Outgoing {
-  InstanceId router;
-  net::SocketAddress to;
-  sharing::Grant grant;
+  InstanceId router{};
+  net::SocketAddress to{};
+  sharing::Grant grant{};
 };
 
 // OutgoingShare is a message for the scheduler of the same service in another
 // region.
 struct OutgoingShare {
-  PoolId to;
-  sharing::CounterShare share;
+  PoolId to{};
+  sharing::CounterShare share{};
 };
 
 // Summary is the scheduler's state in numbers, for metrics and tests.
--- /dev/null
+++ b/samphirebank/scheduler/scheduler_test.cc
@@ -0,0 +1,235 @@
+#include "samphirebank/scheduler/scheduler.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace samphirebank::scheduler {
+namespace {
+
+using contracts::TargetIntent;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const PoolId kPool{RegionId("aqaba"), ServiceId("assistant")};
+constexpr TimePoint kStart{seconds(1000)};
+
+contracts::Contract ContractOf(const std::string& organisation) {
+  contracts::Contract contract;
+  contract.organisation = OrganisationId(organisation);
+  return contract;
+}
+
+// Bench is one scheduler with the clock of its test.
+struct Bench {
+  TimePoint now = kStart;
+  State state = Create({}, kPool, Epoch(1), kStart);
+  contracts::Configuration configuration;
+  std::map<std::string, uint64_t> sequences;
+
+  Bench() {
+    this->Contract(ContractOf("a"));
+    this->Contract(ContractOf("b"));
+  }
+
+  void Contract(const contracts::Contract& contract) {
+    this->configuration.revision = this->configuration.revision.Next();
+    this->configuration.contracts[contract.organisation] = {
+        contract, this->configuration.revision};
+    OnConfiguration(this->state, this->configuration, this->now);
+  }
+
+  void Report(const std::string& target, uint32_t slots,
+              TargetIntent intent = TargetIntent::kServing) {
+    OnTargetState(this->state,
+                  {.pool = kPool,
+                   .target = TargetId(target),
+                   .incarnation = 1,
+                   .sequence = ++this->sequences[target],
+                   .intent = intent,
+                   .slots = slots},
+                  this->now);
+  }
+
+  void Ask(const std::string& router,
+           std::vector<sharing::OrganisationDemand> organisations,
+           std::vector<sharing::TargetUse> uses = {}, uint64_t grants = 0) {
+    sharing::Demand demand{.pool = kPool,
+                           .epoch = Epoch(1),
+                           .sequence = ++this->sequences[router],
+                           .full = this->sequences[router] == 1,
+                           .organisations = std::move(organisations),
+                           .targets = std::move(uses)};
+    demand.grants.newest = grants;
+    OnDemand(this->state, InstanceId(router), BootId(1), demand, this->now);
+  }
+
+  // Granted returns how many requests of each organisation Tick grants.
+  std::map<std::string, uint32_t> Granted() {
+    std::map<std::string, uint32_t> counts;
+    for (const Outgoing& out : Tick(this->state, this->now)) {
+      for (const auto& item : out.grant.items) {
+        counts[item.organisation.value] += item.count;
+      }
+    }
+    return counts;
+  }
+};
+
+sharing::OrganisationDemand Wants(const std::string& organisation,
+                                  uint32_t waiting, uint32_t estimate = 100) {
+  return {.organisation = OrganisationId(organisation),
+          .generation = 1,
+          .waiting = waiting,
+          .estimate = estimate};
+}
+
+using Counts = std::map<std::string, uint32_t>;
+
+TEST_CASE("slots go to the organisations by their counters and weights") {
+  Bench bench;
+  contracts::Contract heavy = ContractOf("b");
+  heavy.weight = 3;
+  bench.Contract(heavy);
+  bench.Report("t1", 8);
+  bench.Ask("r1", {Wants("a", 50)});
+  bench.Ask("r2", {Wants("b", 50)});
+  CHECK(bench.Granted().empty());  // it still collects reports
+  bench.now += seconds(1);
+  CHECK(bench.Granted() == Counts{{"a", 2}, {"b", 6}});
+  CHECK(bench.Granted().empty());  // no slot is free
+}
+
+TEST_CASE("a grant that is not confirmed frees its slots after its expiry") {
+  Bench bench;
+  bench.Report("t1", 2);
+  bench.now += seconds(1);
+  bench.Report("t1", 2);
+  bench.Ask("r1", {Wants("a", 9)});
+  CHECK(bench.Granted() == Counts{{"a", 2}});
+  bench.now += milliseconds(1700);
+  bench.Report("t1", 2);
+  CHECK(bench.Granted().empty());
+  bench.now += milliseconds(200);
+  CHECK(bench.Granted() == Counts{{"a", 2}});
+}
+
+TEST_CASE("an organisation back from idle brings no credit") {
+  Bench bench;
+  bench.Report("t1", 1000);
+  bench.now += seconds(1);
+  bench.Ask("r1", {Wants("a", 100)});
+  CHECK(bench.Granted() == Counts{{"a", 100}});
+  bench.now += seconds(1);
+  bench.Report("t1", 110);
+  auto running = Wants("a", 50);
+  running.running = 100;
+  running.charged = 10'000;
+  bench.Ask("r1", {running, Wants("b", 50)},
+            {{.target = TargetId("t1"), .running = 100}}, 1);
+  CHECK(bench.Granted() == Counts{{"a", 5}, {"b", 5}});
+}
+
+TEST_CASE("limits hold over all routers") {
+  Bench bench;
+  contracts::Contract few = ContractOf("a");
+  few.concurrency = 3;
+  bench.Contract(few);
+  contracts::Contract slow = ContractOf("b");
+  slow.requests_per_second = 10;
+  bench.Contract(slow);
+  bench.Report("t1", 100);
+  bench.now += seconds(1);
+  bench.Report("t1", 100);
+  bench.Ask("r1", {Wants("a", 9), Wants("b", 9)});
+  bench.Ask("r2", {Wants("a", 9), Wants("b", 9)});
+  CHECK(bench.Granted() == Counts{{"a", 3}, {"b", 2}});
+  bench.now += milliseconds(500);
+  CHECK(bench.Granted() == Counts{{"b", 2}});
+  bench.now += milliseconds(110);
+  CHECK(bench.Granted() == Counts{{"b", 1}});
+}
+
+TEST_CASE("an organisation without a contract gets nothing") {
+  Bench bench;
+  bench.Report("t1", 100);
+  bench.Ask("r1", {Wants("stranger", 9)});
+  bench.now += seconds(1);
+  CHECK(bench.Granted().empty());
+}
+
+TEST_CASE("a target that leaves, is declared so or falls silent gets nothing") {
+  Bench bench;
+  bench.now += seconds(1);
+  bench.Report("t1", 1);
+  bench.Ask("r1", {Wants("a", 99)});
+  CHECK(bench.Granted() == Counts{{"a", 1}});
+  bench.Report("t2", 5, TargetIntent::kLeaving);
+  bench.Report("t3", 5);
+  bench.configuration.revision = bench.configuration.revision.Next();
+  bench.configuration.targets[TargetId("t3")] = {TargetIntent::kStopped,
+                                                 Revision(9)};
+  OnConfiguration(bench.state, bench.configuration, bench.now);
+  CHECK(bench.Granted().empty());
+  bench.Report("t4", 1);
+  bench.now += milliseconds(1200);
+  CHECK(bench.Granted().empty());
+  bench.Report("t4", 1);
+  CHECK(bench.Granted() == Counts{{"a", 1}});
+}
+
+TEST_CASE("a router that falls silent or restarts holds no slots") {
+  Bench bench;
+  bench.now += seconds(1);
+  bench.Report("t1", 2);
+  bench.Ask("r1", {Wants("a", 9)}, {{.target = TargetId("t1"), .running = 2}});
+  CHECK(bench.Granted().empty());
+  OnDemand(bench.state, InstanceId("r1"), BootId(2),
+           {.pool = kPool,
+            .epoch = Epoch(1),
+            .sequence = 1,
+            .full = true,
+            .organisations = {Wants("b", 1)}},
+           bench.now);
+  CHECK(bench.Granted() == Counts{{"b", 1}});
+  bench.now += seconds(5);
+  bench.Report("t1", 2);
+  CHECK(bench.Granted().empty());
+  CHECK(Summarize(bench.state).routers == 0);
+  CHECK(Summarize(bench.state).reserved == 0);
+  CHECK(Summarize(bench.state).running == 0);
+}
+
+TEST_CASE("a router that was never heard is asked for everything") {
+  Bench bench;
+  bench.sequences["r1"] = 5;
+  bench.Ask("r1", {Wants("a", 9)});
+  const auto out = Tick(bench.state, bench.now);
+  REQUIRE(out.size() == 1);
+  CHECK(out[0].grant.full_wanted);
+  CHECK(Summarize(bench.state).waiting == 0);
+}
+
+TEST_CASE("a new scheduler goes on from the counters that routers tell") {
+  Bench bench;
+  auto rich = Wants("a", 100);
+  rich.counter = 5000;
+  auto poor = Wants("b", 100);
+  poor.counter = 4600;
+  bench.Ask("r1", {rich});
+  bench.Ask("r2", {poor});
+  bench.Contract(ContractOf("new"));
+  bench.Ask("r3", {Wants("new", 100)});
+  bench.now += seconds(1);
+  bench.Report("t1", 15);
+  const Counts counts = bench.Granted();
+  // "b" is 400 behind "a"; "new" starts at the smallest counter, without a
+  // claim on the past.
+  CHECK(counts == Counts{{"a", 3}, {"b", 6}, {"new", 6}});
+}
+
+}  // namespace
+}  // namespace samphirebank::scheduler
--- a/samphirebank/sharing/sharing.h
+++ b/samphirebank/sharing/sharing.h
@@ -53,7 +53,7 @@
 // OrganisationDemand is the state of one organisation's requests for one pool
 // at one router.
 struct OrganisationDemand {
-  OrganisationId organisation;
+  OrganisationId organisation{};
   // Numbers the router's record; `charged` counts from 0 in each generation.
   uint32_t generation = 0;
   uint32_t waiting = 0;        // requests
@@ -74,7 +74,7 @@
 // TargetUse is what one router runs on one target; the totals are cumulative
 // since the router's process started.
 struct TargetUse {
-  TargetId target;
+  TargetId target{};
   uint32_t running = 0;  // requests
   uint32_t failed = 0;   // requests, total
   uint64_t tokens = 0;   // seen from the target, total
@@ -88,14 +88,14 @@
 // Demand tells a scheduler what changed at one router. A full one tells all.
 struct Demand {
   static constexpr wire::Kind kKind = wire::Kind::kDemand;
-  PoolId pool;
-  Epoch epoch;
+  PoolId pool{};
+  Epoch epoch{};
   uint64_t sequence = 0;
   bool full = false;
-  net::SocketAddress reply_to;  // set in full demands
-  Receipts grants;
-  std::vector<OrganisationDemand> organisations;
-  std::vector<TargetUse> targets;
+  net::SocketAddress reply_to{};  // the router's peer address
+  Receipts grants{};
+  std::vector<OrganisationDemand> organisations{};
+  std::vector<TargetUse> targets{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
@@ -106,9 +106,9 @@
 
 // GrantItem lets a router dispatch `count` requests of one organisation.
 struct GrantItem {
-  OrganisationId organisation;
-  TargetId target;
-  net::SocketAddress address;
+  OrganisationId organisation{};
+  TargetId target{};
+  net::SocketAddress address{};
   uint32_t count = 0;
   bool far = false;    // the target is in another region
   double counter = 0;  // the organisation's, after this grant
@@ -122,7 +122,7 @@
 // QueueNotice tells a router how much of an organisation waits elsewhere, so
 // that the contract's queue length holds over the fleet.
 struct QueueNotice {
-  OrganisationId organisation;
+  OrganisationId organisation{};
   uint32_t waiting_elsewhere = 0;
 
   template <typename Archive>
@@ -136,16 +136,16 @@
 // after that demand was sent.
 struct Grant {
   static constexpr wire::Kind kKind = wire::Kind::kGrant;
-  PoolId pool;
-  Epoch epoch;
+  PoolId pool{};
+  Epoch epoch{};
   uint64_t sequence = 0;
-  Receipts demands;
+  Receipts demands{};
   uint32_t held_ms = 0;
   uint32_t expires_ms = 0;
   bool full_wanted = false;  // the next demand must be full
   bool backlogged = false;   // requests wait: report ends at once
-  std::vector<GrantItem> items;
-  std::vector<QueueNotice> notices;
+  std::vector<GrantItem> items{};
+  std::vector<QueueNotice> notices{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
@@ -158,9 +158,9 @@
 // incarnation; within one, a greater sequence is newer.
 struct TargetState {
   static constexpr wire::Kind kKind = wire::Kind::kTargetState;
-  PoolId pool;
-  TargetId target;
-  net::SocketAddress address;
+  PoolId pool{};
+  TargetId target{};
+  net::SocketAddress address{};
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
   contracts::TargetIntent intent = contracts::TargetIntent::kServing;
@@ -178,7 +178,7 @@
 
 // OrganisationShare is the service that one region gave an organisation.
 struct OrganisationShare {
-  OrganisationId organisation;
+  OrganisationId organisation{};
   uint32_t generation = 0;  // numbers the sender's record
   int64_t charged = 0;      // tokens since that record began
 
@@ -190,8 +190,8 @@
 
 // SlotLoan lets the other region's scheduler use slots of one target.
 struct SlotLoan {
-  TargetId target;
-  net::SocketAddress address;
+  TargetId target{};
+  net::SocketAddress address{};
   uint32_t slots = 0;
 
   template <typename Archive>
@@ -202,7 +202,7 @@
 
 // LoanUse is how many requests run, or may start, on a loaned target.
 struct LoanUse {
-  TargetId target;
+  TargetId target{};
   uint32_t running = 0;
 
   template <typename Archive>
@@ -215,16 +215,16 @@
 // in another: service to backlogged organisations, and spare slots.
 struct CounterShare {
   static constexpr wire::Kind kKind = wire::Kind::kCounterShare;
-  PoolId pool;  // the sender's
-  Epoch epoch;
+  PoolId pool{};  // the sender's
+  Epoch epoch{};
   uint64_t sequence = 0;
   uint64_t answers = 0;      // newest share received from the other side
   uint32_t held_ms = 0;      // since that share arrived
   uint32_t expires_ms = 0;   // of the loans, as in Grant
   bool wants_slots = false;  // saturated: asks for loans
-  std::vector<OrganisationShare> organisations;
-  std::vector<SlotLoan> loans;
-  std::vector<LoanUse> uses;  // of the receiver's loans
+  std::vector<OrganisationShare> organisations{};
+  std::vector<SlotLoan> loans{};
+  std::vector<LoanUse> uses{};  // of the receiver's loans
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
