Add the outcome state machine of one request

All decisions on retry, resume, refusal and unknown stand in one library without I/O. The claim is asked for once a grant is there; a key's request that loses its caller after the send goes on, so that its answer is recorded. An event stream's head waits for its first whole event, so a target lost before that is replaced without the caller seeing it.

--- /dev/null
+++ b/samphirebank/outcome/answering.cc
@@ -0,0 +1,153 @@
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "samphirebank/outcome/internal/step.h"
+
+namespace samphirebank::outcome::internal {
+namespace {
+
+bool IsRetryable(int status) {
+  return status == 429 || status == 502 || status == 503 || status == 504;
+}
+
+// DropAttempt ends the newest attempt, of which nothing was passed on.
+void DropAttempt(Context& context) {
+  context.actions.push_back(CancelAttempt{.attempt = context.request.attempt});
+  context.actions.push_back(DiscardHeld{});
+  SettleGrant(context, true);
+}
+
+void OnRefusedBeforeRunning(Context& context, const HeadReceived& event) {
+  Request& request = context.request;
+  const TargetId target = request.grant->target;
+  DropAttempt(context);
+  if (request.options.idempotent && TryRequeue(context, target)) return;
+  RefuseUnsent(context, {.status = 503,
+                         .retry_after = event.retry_after,
+                         .title = "Refused by the target",
+                         .detail = "The target refused before running."});
+}
+
+// TryReplace sends an idempotent request to another target in place of an
+// attempt whose answer says that the target failed.
+bool TryReplace(Context& context) {
+  const std::optional<Grant> grant = context.request.grant;
+  const Tokens tokens = context.request.tokens;
+  const uint32_t attempt = context.request.attempt;
+  if (!TryRequeue(context, grant->target)) return false;
+  context.request.grant.reset();
+  context.request.tokens = Tokens(0);
+  std::vector<Action> before = {
+      CancelAttempt{.attempt = attempt}, DiscardHeld{},
+      Settle{.grant = *grant, .sent = true, .tokens = tokens}};
+  context.actions.insert(context.actions.begin(), before.begin(), before.end());
+  return true;
+}
+
+bool MayResume(const Request& request, const AnswerBroken& event) {
+  return request.options.idempotent && event.can_resume &&
+         request.event_stream && request.grant->can_resume &&
+         !request.lease_lost && !request.detached;
+}
+
+bool TryResume(Context& context, const AnswerBroken& event) {
+  Request& request = context.request;
+  if (!MayResume(request, event)) return false;
+  const std::optional<Duration> delay =
+      retry::TryRetry(context.budgets,
+                      {.organisation = request.options.organisation,
+                       .service = request.options.service,
+                       .attempt = request.attempt,
+                       .seed = request.options.seed,
+                       .deadline = TimePoint::max()},
+                      context.now);
+  if (!delay) return false;
+  context.actions.push_back(CancelAttempt{.attempt = request.attempt});
+  context.actions.push_back(DiscardHeld{});
+  request.attempt += 1;
+  request.phase = Phase::kSent;
+  request.resuming = true;
+  request.held = Bytes(0);
+  context.actions.push_back(Dispatch{.attempt = request.attempt,
+                                     .grant = *request.grant,
+                                     .delay = *delay,
+                                     .resume_after = request.events_passed});
+  return true;
+}
+
+void Cut(Context& context, const std::string& detail) {
+  context.actions.push_back(CancelAttempt{.attempt = context.request.attempt});
+  context.actions.push_back(DiscardHeld{});
+  SettleGrant(context, true);
+  EndClaim(context, claims::EndKind::kUnknown);
+  ToCaller(context, CutStream{.detail = detail});
+  EndRequest(context);
+}
+
+}  // namespace
+
+void OnHead(Context& context, const HeadReceived& event) {
+  Request& request = context.request;
+  if (request.resuming) {
+    if (event.status != 200 || !event.event_stream) {
+      Cut(context, "The target did not resume the stream.");
+      return;
+    }
+    request.phase = Phase::kAnswering;
+    return;
+  }
+  if (event.states_not_run) {
+    OnRefusedBeforeRunning(context, event);
+    return;
+  }
+  request.may_have_run = true;
+  request.phase = Phase::kAnswering;
+  request.event_stream = event.event_stream;
+  if (request.options.idempotent && IsRetryable(event.status)) {
+    TryReplace(context);
+  }
+}
+
+void OnBody(Context& context, const BodyReceived& event) {
+  Request& request = context.request;
+  request.tokens += event.tokens;
+  request.held += event.bytes;
+  const bool pass = request.passed_on ||
+                    (request.event_stream && event.events > 0) ||
+                    request.held > kHeldBodyLimit;
+  if (!pass) return;
+  request.passed_on = true;
+  request.events_passed += event.events;
+  request.held = Bytes(0);
+  ToCaller(context, PassOn{});
+}
+
+void OnWhole(Context& context, const AnswerWhole& event) {
+  Request& request = context.request;
+  request.tokens = std::max(request.tokens, event.tokens);
+  retry::RecordSuccess(context.budgets, request.options.organisation,
+                       request.options.service);
+  EndClaim(context, claims::EndKind::kAnswer, event.record);
+  ToCaller(context, PassOn{});
+  ToCaller(context, FinishAnswer{});
+  SettleGrant(context, true);
+  EndRequest(context);
+}
+
+void OnBroken(Context& context, const AnswerBroken& event) {
+  Request& request = context.request;
+  if (request.passed_on) {
+    if (TryResume(context, event)) return;
+    Cut(context, event.detail);
+    return;
+  }
+  const TargetId target = request.grant->target;
+  DropAttempt(context);
+  if (request.options.idempotent && TryRequeue(context, target)) return;
+  RefuseUnknown(
+      context,
+      {.status = 502, .title = "Answer not whole", .detail = event.detail});
+}
+
+}  // namespace samphirebank::outcome::internal
--- a/samphirebank/outcome/outcome.h
+++ b/samphirebank/outcome/outcome.h
@@ -100,13 +100,14 @@
   bool claim_granted = false;
   TimePoint claim_asked_at;
   bool may_have_run = false;  // some attempt can have run
-  bool attempt_sent = false;  // the newest attempt can have left
-  bool streaming = false;     // the answer is passed on as it comes
-  bool caller_gone = false;
+  bool event_stream = false;  // the newest attempt's answer is one
+  bool passed_on = false;     // the caller was sent a part of the answer
+  bool resuming = false;      // the newest attempt continues a cut stream
+  bool detached = false;      // the caller has its last word or is gone
   bool lease_lost = false;
   Bytes held;                  // read of the answer, not yet passed on
   uint64_t events_passed = 0;  // whole events that the caller was sent
-  Tokens attempt_tokens;       // generated so far by the newest attempt
+  Tokens tokens;               // generated so far under the grant
 };
 
 // Events.
@@ -149,7 +150,8 @@
   Tokens tokens;
 };
 
-// AnswerWhole: the answer ended and relay found it whole.
+// AnswerWhole: the answer ended and relay found it whole. What is recorded may
+// be cut at one byte above the contract's limit; control then keeps none.
 struct AnswerWhole {
   uint32_t attempt = 0;
   Tokens tokens;  // of the whole answer
--- /dev/null
+++ b/samphirebank/outcome/step.cc
@@ -0,0 +1,84 @@
+#include "samphirebank/outcome/internal/step.h"
+
+#include <chrono>
+#include <utility>
+
+namespace samphirebank::outcome::internal {
+
+void ToCaller(Context& context, Action action) {
+  if (context.request.detached) return;
+  context.actions.push_back(std::move(action));
+}
+
+void SettleGrant(Context& context, bool sent) {
+  Request& request = context.request;
+  if (!request.grant) return;
+  context.actions.push_back(
+      Settle{.grant = *request.grant, .sent = sent, .tokens = request.tokens});
+  request.grant.reset();
+  request.tokens = Tokens(0);
+}
+
+void EndClaim(Context& context, claims::EndKind kind,
+              claims::RecordedAnswer answer) {
+  Request& request = context.request;
+  if (!request.claim_asked) return;
+  request.claim_asked = false;
+  request.claim_granted = false;
+  context.actions.push_back(
+      RecordClaim{.end = {.kind = kind, .answer = std::move(answer)}});
+}
+
+void EndRequest(Context& context) { context.request.phase = Phase::kEnded; }
+
+void RefuseUnsent(Context& context, Problem problem) {
+  problem.ran = context.request.may_have_run ? Ran::kUnknown : Ran::kNotRun;
+  if (!problem.retry_after) problem.retry_after = std::chrono::seconds(1);
+  EndClaim(context, claims::EndKind::kNotRun);
+  ToCaller(context, Refuse{.problem = std::move(problem)});
+  EndRequest(context);
+}
+
+void RefuseUnknown(Context& context, Problem problem) {
+  problem.ran = Ran::kUnknown;
+  EndClaim(context, claims::EndKind::kUnknown);
+  ToCaller(context, Refuse{.problem = std::move(problem)});
+  EndRequest(context);
+}
+
+bool TryRequeue(Context& context, std::optional<TargetId> avoid) {
+  Request& request = context.request;
+  if (request.lease_lost || request.detached) return false;
+  const std::optional<Duration> delay =
+      retry::TryRetry(context.budgets,
+                      {.organisation = request.options.organisation,
+                       .service = request.options.service,
+                       .attempt = request.attempt,
+                       .seed = request.options.seed,
+                       .deadline = request.options.deadline},
+                      context.now);
+  if (!delay) return false;
+  request.phase = Phase::kQueued;
+  context.actions.push_back(
+      Requeue{.delay = *delay, .avoid = std::move(avoid)});
+  return true;
+}
+
+void Launch(Context& context) {
+  Request& request = context.request;
+  request.phase = Phase::kSent;
+  request.attempt += 1;
+  request.held = Bytes(0);
+  request.event_stream = false;
+  context.actions.push_back(Dispatch{.attempt = request.attempt,
+                                     .grant = *request.grant,
+                                     .delay = Duration(0),
+                                     .resume_after = std::nullopt});
+}
+
+bool ClaimIsStale(const Request& request, TimePoint now) {
+  return request.claim_granted &&
+         now - request.claim_asked_at > claims::kSendWindow;
+}
+
+}  // namespace samphirebank::outcome::internal
