Add scheduler assignment and the control instance's shell

Control answers polls with leases and changes, operators over HTTP, and routers' claims and pool requests, over a replicated log whose first form is one voter in memory, so that the whole path can be joined. Reads ask the quorum first.

--- /dev/null
+++ b/samphirebank/control/control.cc
@@ -0,0 +1,31 @@
+#include "samphirebank/control/control.h"
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+
+#include "samphirebank/control/internal/server.h"
+#include "samphirebank/events/events.h"
+#include "samphirebank/net/net.h"
+
+namespace samphirebank::control {
+
+int RunControl(const settings::ControlSettings& settings) {
+  try {
+    net::Loop loop;
+    Server server(loop, settings);
+    loop.OnSignal(SIGTERM, [&loop] { loop.Stop(); });
+    loop.OnSignal(SIGINT, [&loop] { loop.Stop(); });
+    loop.Run();
+    events::Log({.number = events::Number::kProcessStopped});
+    events::Close();
+    return server.failed() ? 1 : 0;
+  } catch (const std::exception& error) {
+    events::Log(
+        {.number = events::Number::kInternalError, .detail = error.what()});
+    std::cerr << "samphirebank control: " << error.what() << '\n';
+    return 1;
+  }
+}
+
+}  // namespace samphirebank::control
--- /dev/null
+++ b/samphirebank/control/internal/server.h
@@ -0,0 +1,102 @@
+// File: server.h
+//
+// The control instance's shell: it joins the loop, the replicated log and the
+// decisions of contracts, claims, lease and assignment.
+#ifndef SAMPHIREBANK_CONTROL_INTERNAL_SERVER_H_
+#define SAMPHIREBANK_CONTROL_INTERNAL_SERVER_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "samphirebank/assignment/assignment.h"
+#include "samphirebank/control/internal/operator_api.h"
+#include "samphirebank/control/internal/replicated_state.h"
+#include "samphirebank/control/internal/replication.h"
+#include "samphirebank/lease/lease.h"
+#include "samphirebank/net/net.h"
+#include "samphirebank/settings/settings.h"
+#include "samphirebank/wire/wire.h"
+
+namespace samphirebank::control {
+
+// Server is one control instance. It belongs to the loop's thread.
+class Server {
+ public:
+  // Throws std::runtime_error if a port cannot be bound or the data folder
+  // cannot be used.
+  Server(net::Loop& event_loop, const settings::ControlSettings& given);
+
+  // failed says whether the instance had to stop.
+  bool failed() const { return this->has_failed; }
+
+ private:
+  // Set-up.
+  ReplicationHooks MakeHooks();
+  void OpenPorts();
+  void StartTimers();
+
+  // Replicated log.
+  Applied ApplyOne(const std::string& entry);
+  void Restore(const std::string& bytes);
+  void OnLeadership();
+  void Fail(const std::string& reason);
+
+  // Peers.
+  void OnPacket(const net::SocketAddress& from, std::string_view message);
+  void OnConfigPoll(const wire::Packet& packet);
+  void OnConfigUpdate(const wire::Packet& packet);
+  void OnPoolRequest(const wire::Packet& packet);
+  void OnClaimRequest(const wire::Opened& opened);
+  void ProposeClaim(const claims::Command& command);
+  void SendTo(const net::SocketAddress& to, const wire::Packet& packet);
+  void SendToMember(const InstanceId& instance, const wire::Packet& packet);
+  // ForwardToLeader passes a packet on; does nothing without another leader.
+  void ForwardToLeader(const wire::Packet& packet);
+  bool IsMember(const InstanceId& instance) const;
+  std::optional<net::SocketAddress> LeaderOperator() const;
+
+  // Timers.
+  void PollLeader();
+  void ConfirmLease();
+  void AssignPools();
+  void WatchOwners();
+
+  // Operators.
+  void OnRequest(const std::shared_ptr<net::ServerStream>& stream);
+  void Handle(const std::shared_ptr<net::ServerStream>& stream,
+              const std::string& body);
+  net::Response Metrics() const;
+  net::Response Ready() const;
+  void Write(const std::shared_ptr<net::ServerStream>& stream,
+             const OperatorCall& call);
+  void FinishWrite(const std::shared_ptr<net::ServerStream>& stream,
+                   const OperatorCall& call, const contracts::Outcome& outcome);
+  void Read(const std::shared_ptr<net::ServerStream>& stream,
+            const OperatorCall& call);
+  net::Response ReadReply(const OperatorCall& call) const;
+
+  net::Loop& loop;
+  settings::ControlSettings settings;
+  BootId boot;
+  wire::Sealer sealer;
+  wire::Opener opener;
+  ReplicatedState state;
+  lease::Holder holder;  // its history follows state.contracts
+  lease::Registry registry;
+  assignment::Wanted wanted;
+  std::unique_ptr<net::PeerSocket> peers;
+  std::unique_ptr<Replication> replication;
+  uint16_t operator_port = 0;
+  bool led = false;
+  TimePoint leads_since;
+  TimePoint last_claim;  // this leader's newest claims entry
+  uint64_t own_changes = 0;
+  bool has_failed = false;
+};
+
+}  // namespace samphirebank::control
+
+#endif  // SAMPHIREBANK_CONTROL_INTERNAL_SERVER_H_
--- a/samphirebank/lease/answer.cc
+++ b/samphirebank/lease/answer.cc
@@ -80,6 +80,7 @@
                     const std::optional<Proof>& proof, const Terms& terms,
                     const ConfigPoll& poll, TimePoint now) {
   ConfigUpdate update{.nonce = poll.nonce};
+  update.lease_length_ns = terms.length.count();
   update.revision = history.configuration.revision;
   if (proof && proof->revision <= update.revision &&
       now - proof->basis < terms.length) {
--- a/samphirebank/lease/holder.cc
+++ b/samphirebank/lease/holder.cc
@@ -167,6 +167,9 @@
   LearnPlace(holder, asked.to, update);
   LearnPeers(holder, update);
   if (update.leader) holder.leader = update.leader;
+  if (update.leader_operator) holder.leader_operator = update.leader_operator;
+  Duration& length = holder.options.terms.length;
+  length = std::min(length, Duration(update.lease_length_ns));
   const bool changed = TakeContent(holder, update);
   if (update.lease_age_ns && *update.lease_age_ns >= 0) {
     const Duration age =
--- a/samphirebank/lease/lease.h
+++ b/samphirebank/lease/lease.h
@@ -50,13 +50,15 @@
   ZoneId zone;
   net::SocketAddress address;  // its peer address
   Role role = Role::kRouter;
-  bool draining = false;  // it is shutting down and takes no duties
+  bool draining = false;       // it is shutting down and takes no duties
+  uint16_t operator_port = 0;  // of a control instance
 
   friend bool operator==(const Participant&, const Participant&) = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(instance, boot, region, zone, address, role, draining);
+    archive(instance, boot, region, zone, address, role, draining,
+            operator_port);
   }
 };
 
@@ -117,16 +119,18 @@
   ZoneId zone;
   std::optional<int64_t> lease_age_ns;  // of the proof; nothing without one
   Revision proven;                      // the proof's revision
+  int64_t lease_length_ns = 0;          // Terms::length of the answerer
   Revision revision;                    // that the answerer has
   std::vector<contracts::Change> changes;
   std::optional<SnapshotPiece> piece;
-  std::optional<net::SocketAddress> leader;  // peer address, if known
-  std::vector<net::SocketAddress> peers;     // routers that may be asked
+  std::optional<net::SocketAddress> leader;           // peer address, if known
+  std::optional<net::SocketAddress> leader_operator;  // operators' address
+  std::vector<net::SocketAddress> peers;  // routers that may be asked
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(nonce, region, zone, lease_age_ns, proven, revision, changes, piece,
-            leader, peers);
+    archive(nonce, region, zone, lease_age_ns, proven, lease_length_ns,
+            revision, changes, piece, leader, leader_operator, peers);
   }
 };
 
@@ -139,7 +143,8 @@
   friend bool operator==(const Proof&, const Proof&) = default;
 };
 
-// Terms are the spans that all instances of a fleet share.
+// Terms are the spans that all instances of a fleet share. A holder never uses
+// a longer lease than whoever answers it.
 struct Terms {
   Duration length = std::chrono::seconds(3);
   // Two clocks drift apart by at most this much, in parts per million.
@@ -196,6 +201,7 @@
   std::optional<Proof> awaiting;  // a newer one whose changes are missing
   std::optional<SnapshotCopy> copy;
   std::optional<net::SocketAddress> leader;
+  std::optional<net::SocketAddress> leader_operator;
   std::vector<net::SocketAddress> peers;
   std::map<uint64_t, Asked> asked;  // by nonce
   uint64_t next_nonce = 0;
