--- /dev/null
+++ b/samphirebank/events/events_test.cc
@@ -0,0 +1,71 @@
+#include "samphirebank/events/events.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace samphirebank::events {
+namespace {
+
+std::string ReadAll(const std::string& path) {
+  std::ostringstream content;
+  content << std::ifstream(path).rdbuf();
+  return std::move(content).str();
+}
+
+TEST_CASE("docs/EVENTS.md is the catalogue") {
+  CHECK(ReadAll(EVENTS_PAGE) == CataloguePage());
+}
+
+TEST_CASE("numbers and names are unique and rise") {
+  for (size_t i = 1; i < Catalogue().size(); ++i) {
+    CHECK(Catalogue()[i - 1].number < Catalogue()[i].number);
+    for (size_t j = 0; j < i; ++j) {
+      CHECK(Catalogue()[i].name != Catalogue()[j].name);
+    }
+  }
+}
+
+TEST_CASE("stamps rise within a clock and after a received stamp") {
+  Clock clock;
+  const Stamp first = Tick(clock, 1000);
+  const Stamp second = Tick(clock, 900);
+  CHECK(first < second);
+  Merge(clock, Stamp{.wall_ms = 5000, .logical = 3}, 1001);
+  CHECK(Tick(clock, 1002) == Stamp{.wall_ms = 5000, .logical = 4});
+  Merge(clock, Stamp{.wall_ms = 900'000, .logical = 0}, 1003);
+  CHECK(Tick(clock, 1004).wall_ms == 5000);
+}
+
+TEST_CASE("a logged line has its source and only the fields that are set") {
+  const std::string path = "events_test." + std::to_string(getpid()) + ".log";
+  Log({.number = Number::kProcessReady});  // dropped: not open yet
+  Open({.instance = InstanceId("r1"),
+        .role = "router",
+        .boot = BootId(7),
+        .file = path});
+  Log({.number = Number::kRequestDispatched,
+       .request = RequestId("q\"1\xff"),
+       .target = TargetId("t1"),
+       .epoch = Epoch(3),
+       .outcome = "ran"});
+  Log({.number = Number::kRequestQueued});  // below the lowest severity
+  Close();
+  const nlohmann::json line = nlohmann::json::parse(ReadAll(path));
+  std::remove(path.c_str());
+  CHECK(line["event"] == 204);
+  CHECK(line["name"] == "request-dispatched");
+  CHECK(line["instance"] == "r1");
+  CHECK(line["boot"] == 7);
+  CHECK(line["target"] == "t1");
+  CHECK(line["epoch"] == 3);
+  CHECK(!line.contains("organisation"));
+  CHECK(line["undeclared"] == nlohmann::json::array({"outcome"}));
+}
+
+}  // namespace
+}  // namespace samphirebank::events
