Read addresses by net's parser in settings

Cause: settings had its own parser of ip:port until net's landed, so the logic stood twice; net is IPv4 only, so an IPv6 address is now refused at the flag.

--- a/samphirebank/settings/flag_kinds.cc
+++ b/samphirebank/settings/flag_kinds.cc
@@ -1,7 +1,6 @@
 #include <arpa/inet.h>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <utility>
 
@@ -25,14 +24,13 @@
          (c >= 'A' && c <= 'F');
 }
 
-bool IsIp(const std::string& text) {
-  std::array<unsigned char, sizeof(in6_addr)> address{};
-  return inet_pton(AF_INET, text.c_str(), address.data()) == 1 ||
-         inet_pton(AF_INET6, text.c_str(), address.data()) == 1;
+// IsReachableIp tells whether others can reach this IPv4 number.
+bool IsReachableIp(const std::string& text) {
+  in_addr address{};
+  return inet_pton(AF_INET, text.c_str(), &address) == 1 &&
+         address.s_addr != INADDR_ANY;
 }
 
-bool IsWildcard(const std::string& ip) { return ip == "0.0.0.0" || ip == "::"; }
-
 bool IsFleetKey(std::string_view text) {
   return text.size() == kFleetKeyDigits &&
          std::all_of(text.begin(), text.end(), IsHexDigit);
@@ -61,17 +59,10 @@
   return number;
 }
 
-std::optional<net::SocketAddress> ParseAddress(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return std::nullopt;
-  std::string ip = text.substr(0, colon);
-  const bool bracketed = ip.starts_with('[') && ip.ends_with(']');
-  if (bracketed) ip = ip.substr(1, ip.size() - 2);
-  const std::optional<uint64_t> port =
-      ParseNumber(text.substr(colon + 1), {.low = 1, .high = kMaxPort});
-  if (!IsIp(ip) || !port) return std::nullopt;
-  return net::SocketAddress{.ip = std::move(ip),
-                            .port = static_cast<uint16_t>(*port)};
+std::optional<net::SocketAddress> ParseAddress(std::string_view text) {
+  std::optional<net::SocketAddress> address = net::ParseSocketAddress(text);
+  if (!address || address->port == 0) return std::nullopt;
+  return address;
 }
 
 bool IsName(std::string_view text) {
@@ -113,11 +104,11 @@
   return Flag{.name = std::move(name),
               .argument = "IP",
               .help = std::move(help),
-              .allowed = "an IP number that others can reach",
+              .allowed = "an IPv4 number that others can reach",
               .default_value = *into,
               .take = [into](const std::string& value) {
                 *into = value;
-                return IsIp(value) && !IsWildcard(value);
+                return IsReachableIp(value);
               }};
 }
 
--- a/samphirebank/settings/internal/flags.h
+++ b/samphirebank/settings/internal/flags.h
@@ -77,8 +77,8 @@
 // ParseNumber reads a whole number within the bounds.
 std::optional<uint64_t> ParseNumber(const std::string& text, Bounds bounds);
 
-// ParseAddress reads "ip:port"; an IPv6 number stands in brackets.
-std::optional<net::SocketAddress> ParseAddress(const std::string& text);
+// ParseAddress reads "ip:port" with a port above 0.
+std::optional<net::SocketAddress> ParseAddress(std::string_view text);
 
 // IsName tells whether a text may name an instance, a target, an organisation:
 // 1 to 64 letters, digits, '.', '_' and '-'.
@@ -87,7 +87,7 @@
 // kNameAllowed and kAddressAllowed describe names and addresses in findings.
 inline constexpr char kNameAllowed[] =
     "1 to 64 letters, digits, '.', '_' and '-'";
-inline constexpr char kAddressAllowed[] = "IP number:port";
+inline constexpr char kAddressAllowed[] = "IPv4 number:port";
 
 // The Flag functions build flags of one kind; `into` receives the value and
 // must outlive the flag.
