Carry the sender's clock stamp in peer packets; add the router's shell

Cause: the time line orders events of all processes by cause, which needs the stamps to travel; the thin path needs the router process. The shell hands events to the outcome machine and performs its actions; it decides nothing. A paused client call no longer counts its own silence as the target's.

--- a/samphirebank/net/client.cc
+++ b/samphirebank/net/client.cc
@@ -123,11 +123,15 @@
 }
 
 void ClientCallImpl::PauseReading() {
-  if (this->wsi != nullptr) lws_rx_flow_control(this->wsi, 0);
+  if (this->wsi == nullptr) return;
+  lws_rx_flow_control(this->wsi, 0);
+  this->StopTimer();  // the silence is ours
 }
 
 void ClientCallImpl::ResumeReading() {
-  if (this->wsi != nullptr) lws_rx_flow_control(this->wsi, 1);
+  if (this->wsi == nullptr) return;
+  lws_rx_flow_control(this->wsi, 1);
+  this->SetTimer(this->request.idle_timeout, "the answer stopped");
 }
 
 bool ClientCallImpl::OnAppendHeaders(unsigned char** at, unsigned char* end) {
--- a/samphirebank/net/header_fields.cc
+++ b/samphirebank/net/header_fields.cc
@@ -19,6 +19,7 @@
     KnownField{"accept", WSI_TOKEN_HTTP_ACCEPT},
     KnownField{"accept-language", WSI_TOKEN_HTTP_ACCEPT_LANGUAGE},
     KnownField{"authorization", WSI_TOKEN_HTTP_AUTHORIZATION},
+    KnownField{"connection", WSI_TOKEN_CONNECTION},
     KnownField{"content-type", WSI_TOKEN_HTTP_CONTENT_TYPE},
     KnownField{"content-length", WSI_TOKEN_HTTP_CONTENT_LENGTH},
     KnownField{"etag", WSI_TOKEN_HTTP_ETAG},
@@ -29,9 +30,15 @@
 };
 
 // Fields that libwebsockets has no token for; it wants the colon.
-constexpr std::array<std::string_view, 6> kCustomFields = {
-    "change-id:", "idempotency-key:", "traceparent:",
-    "x-not-run:", "x-request-id:",    "x-samphirebank-outcome:",
+constexpr std::array<std::string_view, 8> kCustomFields = {
+    "change-id:",
+    "idempotency-key:",
+    "samphirebank-fence:",
+    "samphirebank-not-run:",
+    "samphirebank-request-id:",
+    "samphirebank-resume-after:",
+    "traceparent:",
+    "x-request-id:",
 };
 
 constexpr std::array<std::pair<int, std::string_view>, 7> kMethods = {{
--- /dev/null
+++ b/samphirebank/router/pools.cc
@@ -0,0 +1,205 @@
+#include "samphirebank/router/internal/pools.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "samphirebank/assignment/assignment.h"
+#include "samphirebank/events/events.h"
+#include "samphirebank/router/internal/callers.h"
+#include "samphirebank/router/internal/configuration.h"
+#include "samphirebank/router/internal/drain.h"
+#include "samphirebank/router/internal/peers.h"
+
+namespace samphirebank::router {
+namespace {
+
+// The loop turns at least this often; polls and expiries depend on it.
+constexpr Duration kPumpInterval = std::chrono::milliseconds(20);
+constexpr Duration kAskPoolInterval = std::chrono::milliseconds(500);
+
+const contracts::SchedulerAssignment* FindAssignment(const Router& router,
+                                                     const PoolId& pool) {
+  const auto& pools = router.holder.history.configuration.pools;
+  const auto found = pools.find(pool);
+  return found == pools.end() ? nullptr : &found->second.value;
+}
+
+bool IsOwn(const Router& router,
+           const contracts::SchedulerAssignment& assignment) {
+  return assignment.holder == router.settings.identity.instance;
+}
+
+// FindScheduler returns this router's scheduler of a pool, or null.
+scheduler::State* FindScheduler(Router& router, const PoolId& pool) {
+  const auto found = router.schedulers.find(pool);
+  return found == router.schedulers.end() ? nullptr : &found->second;
+}
+
+void AskForPool(Router& router, const PoolId& pool, TimePoint now) {
+  TimePoint& asked = router.pool_asked[pool];
+  if (asked != TimePoint() && now - asked < kAskPoolInterval) return;
+  asked = now;
+  SendMessage(router, ControlAddress(router),
+              assignment::PoolRequest{.pool = pool});
+}
+
+void SendDemands(Router& router, TimePoint now) {
+  std::vector<PoolId> due;
+  for (const auto& [pool, queued] : router.queues.pools) {
+    const auto at = queue::NextDemandAt(router.queues, pool);
+    if (at && *at <= now) due.push_back(pool);
+  }
+  for (const PoolId& pool : due) {
+    const auto* const assignment = FindAssignment(router, pool);
+    if (assignment == nullptr) continue;
+    const sharing::Demand demand = queue::BuildDemand(router.queues, pool, now);
+    if (IsOwn(router, *assignment)) {
+      OnDemand(router, router.settings.identity.instance, router.boot, demand,
+               now);
+    } else {
+      SendMessage(router, assignment->address, demand);
+    }
+  }
+}
+
+void SendGrants(Router& router, TimePoint now) {
+  for (auto& [pool, state] : router.schedulers) {
+    for (const scheduler::Outgoing& out : scheduler::Tick(state, now)) {
+      if (out.router == router.settings.identity.instance) {
+        OnGrant(router, out.grant, now);
+      } else {
+        SendMessage(router, out.to, out.grant);
+      }
+    }
+  }
+}
+
+void SendTargetStates(Router& router, TimePoint now) {
+  for (const sharing::TargetState& state :
+       targets::TakeDue(router.targets, now)) {
+    const auto* const assignment = FindAssignment(router, state.pool);
+    if (assignment == nullptr) {
+      AskForPool(router, state.pool, now);
+    } else if (IsOwn(router, *assignment)) {
+      OnTargetState(router, state, now);
+    } else {
+      SendMessage(router, assignment->address, state);
+    }
+  }
+}
+
+outcome::Grant ToGrant(const queue::Dispatch& dispatch) {
+  return {.target = dispatch.target,
+          .address = dispatch.address,
+          .epoch = dispatch.epoch,
+          .expires = dispatch.expires};
+}
+
+}  // namespace
+
+void TakeAssignments(Router& router, TimePoint now) {
+  const contracts::Configuration& configuration =
+      router.holder.history.configuration;
+  std::erase_if(router.schedulers, [&](const auto& item) {
+    const auto* const assignment = FindAssignment(router, item.first);
+    const bool kept = assignment != nullptr && IsOwn(router, *assignment) &&
+                      assignment->epoch == router.scheduled_epochs[item.first];
+    if (!kept) {
+      events::Log({.number = events::Number::kSchedulerRetired,
+                   .service = item.first.service,
+                   .region = item.first.region});
+    }
+    return !kept;
+  });
+  for (const auto& [pool, record] : configuration.pools) {
+    const contracts::SchedulerAssignment& assignment = record.value;
+    queue::OnEpoch(router.queues, pool, assignment.epoch, now);
+    if (!IsOwn(router, assignment)) continue;
+    if (FindScheduler(router, pool) == nullptr) {
+      router.schedulers.emplace(
+          pool, scheduler::Create({}, pool, assignment.epoch, now));
+      router.scheduled_epochs[pool] = assignment.epoch;
+      events::Log({.number = events::Number::kSchedulerStarted,
+                   .service = pool.service,
+                   .region = pool.region,
+                   .epoch = assignment.epoch});
+    }
+  }
+  for (auto& [pool, state] : router.schedulers) {
+    scheduler::OnConfiguration(state, configuration, now);
+  }
+}
+
+void OnDemand(Router& router, const InstanceId& from, BootId boot,
+              const sharing::Demand& demand, TimePoint now) {
+  scheduler::State* const state = FindScheduler(router, demand.pool);
+  if (state != nullptr) {
+    scheduler::OnDemand(*state, from, boot, demand, now);
+  }
+}
+
+void OnGrant(Router& router, const sharing::Grant& grant, TimePoint now) {
+  if (!lease::MayAct(router.holder, now)) return;
+  for (const queue::Dispatch& dispatch :
+       queue::ApplyGrant(router.queues, grant, now)) {
+    Raise(router, dispatch.id, outcome::GrantGot{.grant = ToGrant(dispatch)});
+  }
+}
+
+void OnTargetState(Router& router, const sharing::TargetState& target,
+                   TimePoint now) {
+  scheduler::State* const state = FindScheduler(router, target.pool);
+  if (state != nullptr) scheduler::OnTargetState(*state, target, now);
+}
+
+void OnCounterShare(Router& router, const sharing::CounterShare& share,
+                    TimePoint now) {
+  for (auto& [pool, state] : router.schedulers) {
+    const bool same_service = pool.service == share.pool.service;
+    if (!same_service || pool == share.pool) continue;
+    scheduler::OnCounterShare(state, share, now);
+  }
+}
+
+void PumpPools(Router& router, TimePoint now) {
+  SendTargetStates(router, now);
+  SendDemands(router, now);
+  SendGrants(router, now);
+  // What the grants started or returned may be told at once.
+  SendDemands(router, now);
+}
+
+TimePoint NextPoolsAt(const Router& router, TimePoint now) {
+  TimePoint next = now + kPumpInterval;
+  for (const auto& [pool, queued] : router.queues.pools) {
+    const auto at = queue::NextDemandAt(router.queues, pool);
+    if (at) next = std::min(next, *at);
+  }
+  for (const auto& [pool, state] : router.schedulers) {
+    next = std::min(next, scheduler::NextTickAt(state));
+  }
+  return next;
+}
+
+void SchedulePump(Router& router) {
+  if (router.pump_due) return;
+  router.pump_due = true;
+  router.loop.After(Duration::zero(), [&router] {
+    router.pump_due = false;
+    Pump(router);
+  });
+}
+
+void Pump(Router& router) {
+  const TimePoint now = net::Loop::Now();
+  PumpLease(router, now);
+  RefuseExpired(router, now);
+  PumpPools(router, now);
+  PumpClaims(router, now);
+  PumpDrain(router, now);
+  if (NextPoolsAt(router, now) < now + kPumpInterval) SchedulePump(router);
+}
+
+}  // namespace samphirebank::router
--- a/samphirebank/wire/seal.cc
+++ b/samphirebank/wire/seal.cc
@@ -25,10 +25,12 @@
   uint64_t number = 0;
   uint16_t kind = 0;
   std::string payload;
+  int64_t clock_ms = 0;
+  uint32_t clock_logical = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(from, boot, number, kind, payload);
+    archive(from, boot, number, kind, payload, clock_ms, clock_logical);
   }
 };
 
@@ -80,7 +82,9 @@
                           .boot = this->boot.value,
                           .number = this->next_number++,
                           .kind = static_cast<uint16_t>(packet.kind),
-                          .payload = packet.payload});
+                          .payload = packet.payload,
+                          .clock_ms = packet.clock_ms,
+                          .clock_logical = packet.clock_logical});
   std::string out(kHeaderBytes + plain.size() + kTagBytes, '\0');
   out[0] = static_cast<char>(kVersion);
   randombytes_buf(out.data() + 1, kNonceBytes);
@@ -112,7 +116,9 @@
   return Opened{.from = InstanceId(sealed.from),
                 .boot = BootId(sealed.boot),
                 .packet = Packet{.kind = static_cast<Kind>(sealed.kind),
-                                 .payload = std::move(sealed.payload)}};
+                                 .payload = std::move(sealed.payload),
+                                 .clock_ms = sealed.clock_ms,
+                                 .clock_logical = sealed.clock_logical}};
 }
 
 }  // namespace samphirebank::wire
--- a/samphirebank/wire/wire.h
+++ b/samphirebank/wire/wire.h
@@ -66,6 +66,9 @@
 struct Packet {
   Kind kind = Kind::kConsensus;
   std::string payload;
+  // The sender's hybrid logical clock, for the time line of events.
+  int64_t clock_ms = 0;
+  uint32_t clock_logical = 0;
 };
 
 // ErrorKind says why a packet was refused.
--- a/samphirebank/wire/wire_test.cc
+++ b/samphirebank/wire/wire_test.cc
@@ -35,11 +35,14 @@
 TEST_CASE("a sealed message opens once, under the same key") {
   Sealer sealer(KeyOf('k'), InstanceId("r1"), BootId(4));
   Opener opener(KeyOf('k'));
-  const std::string bytes = sealer.Seal(Encode(Ping{.nonce = 9}));
+  Packet packet = Encode(Ping{.nonce = 9});
+  packet.clock_ms = 12;
+  const std::string bytes = sealer.Seal(packet);
   const leaf::result<Opened> opened = opener.Open(bytes);
   REQUIRE(opened);
   CHECK(opened->from == InstanceId("r1"));
   CHECK(opened->boot == BootId(4));
+  CHECK(opened->packet.clock_ms == 12);
   CHECK(Decode<Ping>(opened->packet)->nonce == 9);
   CHECK(Refusal(opener, bytes) == ErrorKind::kReplayed);
 }
