--- a/samphirebank/consensus/consensus.h
+++ b/samphirebank/consensus/consensus.h
@@ -58,8 +58,8 @@
 // MemberId names one data folder of one instance. An instance that lost its
 // folder comes back as another member.
 struct MemberId {
-  InstanceId instance;
-  StorageId storage;
+  InstanceId instance{};
+  StorageId storage{};
 
   friend auto operator<=>(const MemberId&, const MemberId&) = default;
 
@@ -72,9 +72,9 @@
 // Membership says who takes part. While `outgoing` is not empty, every
 // decision needs a majority of `voters` and a majority of `outgoing`.
 struct Membership {
-  std::set<MemberId> voters;
-  std::set<MemberId> outgoing;
-  std::set<MemberId> learners;
+  std::set<MemberId> voters{};
+  std::set<MemberId> outgoing{};
+  std::set<MemberId> learners{};
 
   friend bool operator==(const Membership&, const Membership&) = default;
 
@@ -102,10 +102,10 @@
 
 // Entry is one position of the log.
 struct Entry {
-  LogIndex index;
-  Term term;
+  LogIndex index{};
+  Term term{};
   EntryKind kind = EntryKind::kNoOp;
-  std::string payload;
+  std::string payload{};
 
   friend bool operator==(const Entry&, const Entry&) = default;
 
@@ -117,8 +117,8 @@
 
 // HardState is what a member must not forget besides its log.
 struct HardState {
-  Term term;
-  MemberId voted_for;  // storage 0: nobody in this term
+  Term term{};
+  MemberId voted_for{};  // storage 0: nobody in this term
 
   friend bool operator==(const HardState&, const HardState&) = default;
 
@@ -130,9 +130,9 @@
 
 // SnapshotHead describes a snapshot.
 struct SnapshotHead {
-  LogIndex index;  // the last entry that it includes
-  Term term;       // that entry's term
-  Membership membership;
+  LogIndex index{};  // the last entry that it includes
+  Term term{};       // that entry's term
+  Membership membership{};
   uint64_t size = 0;      // bytes of data
   uint64_t checksum = 0;  // xxhash of the data
 
@@ -146,15 +146,15 @@
 
 // Snapshot is the state machine at one index; `data` is never null.
 struct Snapshot {
-  SnapshotHead head;
+  SnapshotHead head{};
   std::shared_ptr<const std::string> data = std::make_shared<std::string>();
 };
 
 // Recovered is what a member finds on its disk.
 struct Recovered {
-  HardState hard_state;
-  std::optional<Snapshot> snapshot;
-  std::vector<Entry> entries;  // the ones after the snapshot, without gaps
+  HardState hard_state{};
+  std::optional<Snapshot> snapshot{};
+  std::vector<Entry> entries{};  // the ones after the snapshot, without gaps
 };
 
 // Persist asks for a durable write. Tickets are written in order, and one
@@ -162,10 +162,10 @@
 // the entries replace all that was stored; else an entry replaces stored
 // entries of the same and higher index.
 struct Persist {
-  Ticket ticket;
-  std::optional<HardState> hard_state;
-  std::vector<Entry> entries;
-  std::optional<Snapshot> snapshot;
+  Ticket ticket{};
+  std::optional<HardState> hard_state{};
+  std::vector<Entry> entries{};
+  std::optional<Snapshot> snapshot{};
 };
 
 // Messages between members.
@@ -180,8 +180,8 @@
 // the member would give one and binds nobody.
 struct VoteRequest {
   bool pre_vote = false;
-  LogIndex last_index;
-  Term last_term;
+  LogIndex last_index{};
+  Term last_term{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
@@ -202,10 +202,10 @@
 
 // AppendRequest replicates entries; without entries it is a heartbeat.
 struct AppendRequest {
-  LogIndex previous_index;
-  Term previous_term;
-  std::vector<Entry> entries;
-  LogIndex commit_index;
+  LogIndex previous_index{};
+  Term previous_term{};
+  std::vector<Entry> entries{};
+  LogIndex commit_index{};
   uint64_t round = 0;  // the newest leadership confirmation round
 
   template <typename Archive>
@@ -217,7 +217,7 @@
 // AppendReply answers an AppendRequest.
 struct AppendReply {
   bool accepted = false;
-  LogIndex match;  // accepted: stored up to here; else: where to try next
+  LogIndex match{};  // accepted: stored up to here; else: where to try next
   uint64_t round = 0;
 
   template <typename Archive>
@@ -228,9 +228,9 @@
 
 // SnapshotChunk carries the piece of a snapshot that starts at `offset`.
 struct SnapshotChunk {
-  SnapshotHead head;
+  SnapshotHead head{};
   uint64_t offset = 0;
-  std::string data;
+  std::string data{};
   uint64_t round = 0;
 
   template <typename Archive>
@@ -241,7 +241,7 @@
 
 // SnapshotReply says how much of a snapshot a member holds.
 struct SnapshotReply {
-  LogIndex index;
+  LogIndex index{};
   uint64_t received = 0;
   uint64_t round = 0;
 
@@ -259,10 +259,10 @@
 struct Message {
   static constexpr wire::Kind kKind = static_cast<wire::Kind>(1);  // kConsensus
 
-  MemberId from;
-  MemberId to;  // storage 0: whatever folder the instance has
-  Term term;
-  Body body;
+  MemberId from{};
+  MemberId to{};  // storage 0: whatever folder the instance has
+  Term term{};
+  Body body{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
@@ -277,12 +277,12 @@
 
 // Received is a message from the network.
 struct Received {
-  Message message;
+  Message message{};
 };
 
 // Persisted confirms that all tickets up to this one are durable.
 struct Persisted {
-  Ticket ticket;
+  Ticket ticket{};
 };
 
 // StorageFull tells whether the disk takes further writes. While it is full,
@@ -294,14 +294,14 @@
 // Propose asks to append commands as consecutive entries. One ProposalAnswer
 // follows.
 struct Propose {
-  ProposalTag tag;
-  std::vector<std::string> commands;
+  ProposalTag tag{};
+  std::vector<std::string> commands{};
 };
 
 // ConfirmLeadership asks whether this member leads now. One RoundAnswer
 // follows. Requests that come during a round share the next one.
 struct ConfirmLeadership {
-  RoundTag tag;
+  RoundTag tag{};
 };
 
 // ChangeKind says how a membership is to change.
@@ -317,9 +317,9 @@
 // membership entry that the proposer saw; 0 takes any.
 struct MembershipChange {
   ChangeKind kind = ChangeKind::kAddLearner;
-  MemberId member;
-  MemberId replacement;
-  LogIndex expected_index;
+  MemberId member{};
+  MemberId replacement{};
+  LogIndex expected_index{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
@@ -330,21 +330,21 @@
 // ProposeMembership asks for a change. One ProposalAnswer follows; kCommitted
 // comes when the new voters alone decide and a new voter holds the change.
 struct ProposeMembership {
-  ProposalTag tag;
-  MembershipChange change;
+  ProposalTag tag{};
+  MembershipChange change{};
 };
 
 // SnapshotTaken hands in the state machine as of `index`, which is at most
 // the newest entry that was delivered; an older one than the last is ignored.
 struct SnapshotTaken {
-  LogIndex index;
-  std::shared_ptr<const std::string> data;
+  LogIndex index{};
+  std::shared_ptr<const std::string> data{};
 };
 
 // Bootstrap founds a fleet with these voters. It is to be given to one member
 // once; it does nothing on a member that ever held a log or a vote.
 struct Bootstrap {
-  std::set<MemberId> voters;
+  std::set<MemberId> voters{};
 };
 
 using Event = std::variant<Tick, Received, Persisted, StorageFull, Propose,
@@ -355,8 +355,8 @@
 enum class Outcome : uint8_t {
   kCommitted,         // durable on a quorum and delivered
   kNotLeader,         // not taken; ask `leader`
-  kSuperseded,        // another entry took its place; it will never run
-  kUnknown,           // may or may not have been committed
+  kSuperseded,        // other entries took its place; it will never run
+  kUnknown,           // all, some or none of it may have been committed
   kBusy,              // not taken; too many are in flight
   kStorageFull,       // not taken; the disk is full
   kTooLarge,          // not taken; a command exceeds kMaxCommandBytes
@@ -369,58 +369,59 @@
 
 // ProposalAnswer answers Propose and ProposeMembership.
 struct ProposalAnswer {
-  ProposalTag tag;
+  ProposalTag tag{};
   Outcome outcome = Outcome::kUnknown;
-  LogIndex first_index;  // of the entries, if they were taken
-  LogIndex last_index;
-  std::optional<MemberId> leader;  // the leader as far as it is known
+  LogIndex first_index{};  // of the entries, if they were taken
+  LogIndex last_index{};
+  std::optional<MemberId> leader{};  // the leader as far as it is known
 };
 
 // RoundAnswer answers ConfirmLeadership. When confirmed, no other member had
 // committed anything by `started_at` that is missing at `commit_index`, and
 // all entries up to `commit_index` have been delivered.
 struct RoundAnswer {
-  RoundTag tag;
+  RoundTag tag{};
   bool confirmed = false;
-  TimePoint started_at;  // this member's clock
-  LogIndex commit_index;
-  Term term;
+  TimePoint started_at{};  // this member's clock
+  LogIndex commit_index{};
+  Term term{};
 };
 
 // LeadershipChange reports a new view of who leads.
 struct LeadershipChange {
-  Term term;
-  std::optional<MemberId> leader;
+  Term term{};
+  std::optional<MemberId> leader{};
   bool is_self = false;
 };
 
 // Actions is what the caller is to do, in the order of the fields.
 struct Actions {
-  std::optional<Persist> persist;
-  std::vector<Message> messages;
-  std::optional<Snapshot> restore;
-  std::vector<Entry> committed;
-  std::vector<ProposalAnswer> answers;
-  std::vector<RoundAnswer> rounds;
-  std::optional<LeadershipChange> leadership;
+  std::optional<Persist> persist{};
+  std::vector<Message> messages{};
+  std::optional<Snapshot> restore{};
+  std::vector<Entry> committed{};
+  std::vector<ProposalAnswer> answers{};
+  std::vector<RoundAnswer> rounds{};
+  std::optional<LeadershipChange> leadership{};
   bool take_snapshot = false;  // the log is long: send SnapshotTaken
 };
 
 // Options of a member.
 struct Options {
-  MemberId self;
+  MemberId self{};
   uint64_t seed = 1;  // differs between members and runs
   // peers are the instances that an unknown member announces itself to.
-  std::vector<InstanceId> peers;
-  Duration heartbeat_interval = std::chrono::milliseconds(100);
+  std::vector<InstanceId> peers{};
+  Duration heartbeat_interval = std::chrono::milliseconds(200);
   // A member stands for election after one to two election timeouts without
   // a leader; a leader steps down after one without a quorum.
   Duration election_timeout = std::chrono::milliseconds(1000);
-  Duration resend_timeout = std::chrono::milliseconds(300);
+  Duration resend_timeout = std::chrono::milliseconds(400);
   Duration announce_interval = std::chrono::seconds(2);
   uint32_t max_inflight_appends = 16;      // per member
   uint32_t max_pending_proposals = 4096;   // Propose events not answered
   uint32_t snapshot_entries = 10'000;      // a snapshot is due after so many
+  Bytes snapshot_bytes = Bytes(16 << 20);  // or after so many bytes of entries
   uint32_t trailing_entries = 2'000;       // kept behind a snapshot
   uint32_t catch_up_lag = 100;             // entries a promoted learner may lag
   uint32_t max_snapshot_transfers = 2;     // at the same time
@@ -430,97 +431,106 @@
 // Role of a member.
 enum class Role : uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
 
+// SnapshotTransfer is a snapshot on its way to one member.
+struct SnapshotTransfer {
+  Snapshot snapshot{};
+  uint64_t received = 0;  // bytes that the member confirmed
+  bool waiting = false;   // a chunk is not answered yet
+  TimePoint sent_at{};
+};
+
 // Progress is the leader's view of one other member.
 struct Progress {
-  LogIndex match;  // stored there for certain
-  LogIndex next;   // the next to send
-  bool probing = true;
-  uint32_t inflight = 0;
-  TimePoint last_reply;
-  TimePoint last_send;
-  uint64_t round = 0;  // the newest round that it answered
-  bool transferring = false;
-  uint64_t transfer_offset = 0;
+  LogIndex match{};                 // stored there for certain
+  LogIndex next{};                  // the next to send
+  bool probing = true;              // one message at a time until one matches
+  std::deque<LogIndex> inflight{};  // where the unanswered messages end
+  TimePoint last_reply{};
+  TimePoint last_advance{};  // when match grew or inflight began
+  uint64_t round = 0;        // the newest round that it answered
+  std::optional<SnapshotTransfer> transfer{};
 };
 
 // MembershipAt is a membership with the index of its entry.
 struct MembershipAt {
-  LogIndex index;
-  Membership membership;
+  LogIndex index{};
+  Membership membership{};
 };
 
 // HeldMessage waits for a ticket.
 struct HeldMessage {
-  Ticket ticket;
-  Message message;
+  Ticket ticket{};
+  Message message{};
 };
 
 // UnsyncedAppend is a Persist whose entries end at `last_index`.
 struct UnsyncedAppend {
-  Ticket ticket;
-  LogIndex last_index;
+  Ticket ticket{};
+  LogIndex last_index{};
 };
 
 // PendingProposal waits for its entries to be committed.
 struct PendingProposal {
-  ProposalTag tag;
-  Term term;
-  LogIndex first_index;
-  LogIndex last_index;
-  // new_voter must hold last_index too; storage 0: nobody.
-  MemberId new_voter;
+  ProposalTag tag{};
+  Term term{};
+  LogIndex first_index{};
+  LogIndex last_index{};
+  bool joint = false;    // the change that leaves the joint phase follows
+  MemberId new_voter{};  // must hold last_index too; storage 0: nobody
 };
 
 // PendingRound is one leadership confirmation round.
 struct PendingRound {
-  std::vector<RoundTag> tags;
-  TimePoint started_at;
-  LogIndex commit_index;
+  std::vector<RoundTag> tags{};
+  TimePoint started_at{};
+  LogIndex commit_index{};
 };
 
 // State is all that a member knows. Read it freely; only Step changes it.
 struct State {
-  Options options;
+  Options options{};
   uint64_t random = 0;
 
   // Durable, with what is on its way to the disk.
-  HardState hard_state;
-  Snapshot snapshot;          // head.index 0: none
-  std::deque<Entry> entries;  // follows `base_index`
-  LogIndex base_index;        // the entry before the first one kept
-  Term base_term;
-  std::vector<MembershipAt> memberships;  // oldest first, at least one
+  HardState hard_state{};
+  Snapshot snapshot{};          // head.index 0: none
+  std::deque<Entry> entries{};  // follows `base_index`
+  LogIndex base_index{};        // the entry before the first one kept
+  Term base_term{};
+  std::vector<MembershipAt> memberships{};  // oldest first, at least one
 
   // The way to the disk.
-  Ticket last_ticket;
-  Ticket synced_ticket;
-  LogIndex synced_index;
-  std::deque<UnsyncedAppend> unsynced;
-  std::deque<HeldMessage> held;
+  Ticket last_ticket{};
+  Ticket synced_ticket{};
+  Ticket hard_state_ticket{};  // the one with the present hard state
+  LogIndex synced_index{};
+  std::deque<UnsyncedAppend> unsynced{};
+  std::deque<HeldMessage> held{};
   bool storage_full = false;
 
   // Volatile.
   Role role = Role::kFollower;
-  std::optional<MemberId> leader;
-  LogIndex commit_index;
-  TimePoint election_deadline;
-  TimePoint leader_seen;
-  TimePoint next_heartbeat;
-  TimePoint next_announce;
-  std::set<MemberId> votes;
-  std::map<InstanceId, MemberId> announced;
-  std::optional<SnapshotHead> incoming;
-  std::string incoming_data;
+  std::optional<MemberId> leader{};
+  LogIndex commit_index{};
+  TimePoint election_deadline{};
+  TimePoint leader_seen{};
+  TimePoint next_heartbeat{};
+  TimePoint next_announce{};
+  std::set<MemberId> votes{};
+  std::map<InstanceId, MemberId> announced{};
+  std::optional<SnapshotHead> incoming{};
+  std::string incoming_data{};
   bool snapshot_asked = false;
+  Bytes bytes_since_snapshot{};
 
   // As a leader.
-  std::map<MemberId, Progress> progress;
-  LogIndex no_op_index;
-  std::deque<PendingProposal> pending;
+  std::map<MemberId, Progress> progress{};
+  LogIndex no_op_index{};
+  std::vector<PendingProposal> pending{};
   uint64_t round = 0;
-  std::optional<PendingRound> current_round;
-  std::vector<RoundTag> waiting_rounds;
-  TimePoint transfer_allowed_at;
+  std::optional<PendingRound> current_round{};
+  std::vector<RoundTag> waiting_rounds{};
+  TimePoint transfer_allowed_at{};
 };
 
 // Start returns the state of a member that starts at `now`.
--- /dev/null
+++ b/samphirebank/consensus/proposals.cc
@@ -0,0 +1,101 @@
+#include "samphirebank/consensus/internal/core.h"
+
+namespace samphirebank::consensus::internal {
+namespace {
+
+std::optional<Outcome> RefusalOf(const State& state, const Propose& event) {
+  if (state.role != Role::kLeader) return Outcome::kNotLeader;
+  if (event.commands.empty()) return Outcome::kInvalid;
+  for (const std::string& command : event.commands) {
+    if (command.size() > kMaxCommandBytes) return Outcome::kTooLarge;
+  }
+  if (state.storage_full) return Outcome::kStorageFull;
+  if (state.pending.size() >= state.options.max_pending_proposals) {
+    return Outcome::kBusy;
+  }
+  return {};
+}
+
+// StandsInLog says whether the entry of `term` is still at `index`; nothing
+// when a snapshot hides it.
+std::optional<bool> StandsInLog(const State& state, LogIndex index, Term term) {
+  const std::optional<Term> found = TermAt(state, index);
+  if (!found) return {};
+  return *found == term;
+}
+
+Outcome OutcomeOf(const State& state, const PendingProposal& proposal) {
+  const Term term = proposal.term;
+  const auto last = StandsInLog(state, proposal.last_index, term);
+  const auto first = StandsInLog(state, proposal.first_index, term);
+  if (!last) return Outcome::kUnknown;
+  if (*last) return Outcome::kCommitted;
+  const bool none_stands = first && !*first;
+  return none_stands ? Outcome::kSuperseded : Outcome::kUnknown;
+}
+
+bool Leads(const State& state, Term term) {
+  return state.role == Role::kLeader && state.hard_state.term == term;
+}
+
+// IsDecided says whether the proposal can be answered. `outcome` may be
+// changed to kUnknown.
+bool IsDecided(const State& state, const PendingProposal& proposal,
+               Outcome& outcome) {
+  if (proposal.last_index > state.commit_index) return false;
+  outcome = OutcomeOf(state, proposal);
+  const bool wants_more =
+      proposal.joint || proposal.new_voter.storage != StorageId(0);
+  if (!wants_more || outcome != Outcome::kCommitted) return true;
+  if (!Leads(state, proposal.term)) {
+    outcome = Outcome::kUnknown;
+    return true;
+  }
+  if (proposal.joint) return false;
+  auto found = state.progress.find(proposal.new_voter);
+  if (found == state.progress.end()) return true;
+  return found->second.match >= proposal.last_index;
+}
+
+}  // namespace
+
+void Answer(Context& context, ProposalTag tag, Outcome outcome) {
+  context.actions.answers.push_back(
+      {.tag = tag, .outcome = outcome, .leader = context.state.leader});
+}
+
+void HandlePropose(Context& context, const Propose& event) {
+  State& state = context.state;
+  if (std::optional<Outcome> refusal = RefusalOf(state, event)) {
+    Answer(context, event.tag, *refusal);
+    return;
+  }
+  const LogIndex first = LastIndex(state).Next();
+  for (const std::string& command : event.commands) {
+    AppendEntry(context, {.index = LastIndex(state).Next(),
+                          .term = state.hard_state.term,
+                          .kind = EntryKind::kCommand,
+                          .payload = command});
+  }
+  state.pending.push_back({.tag = event.tag,
+                           .term = state.hard_state.term,
+                           .first_index = first,
+                           .last_index = LastIndex(state)});
+  Replicate(context);
+}
+
+void ResolvePending(Context& context) {
+  State& state = context.state;
+  std::erase_if(state.pending, [&](const PendingProposal& proposal) {
+    Outcome outcome = Outcome::kUnknown;
+    if (!IsDecided(state, proposal, outcome)) return false;
+    context.actions.answers.push_back({.tag = proposal.tag,
+                                       .outcome = outcome,
+                                       .first_index = proposal.first_index,
+                                       .last_index = proposal.last_index,
+                                       .leader = state.leader});
+    return true;
+  });
+}
+
+}  // namespace samphirebank::consensus::internal
--- /dev/null
+++ b/samphirebank/consensus/snapshot.cc
@@ -0,0 +1,141 @@
+#include <xxhash.h>
+
+#include <utility>
+
+#include "samphirebank/consensus/internal/core.h"
+
+namespace samphirebank::consensus::internal {
+namespace {
+
+// ForgetMemberships drops the ones that `index` has outdated.
+void ForgetMemberships(State& state, LogIndex index) {
+  std::vector<MembershipAt>& all = state.memberships;
+  while (all.size() > 1 && all[1].index <= index) all.erase(all.begin());
+}
+
+// Compact drops entries behind the snapshot that no member is likely to need.
+void Compact(State& state) {
+  const LogIndex covered = state.snapshot.head.index;
+  const LogIndex trailing(state.options.trailing_entries);
+  LogIndex through = covered > trailing ? covered - trailing : LogIndex(0);
+  for (const auto& [member, progress] : state.progress) {
+    if (!progress.transfer) continue;
+    through = std::min(through, progress.transfer->snapshot.head.index);
+  }
+  DropThrough(state, through);
+  // Large entries are not kept behind the snapshot at all.
+  int64_t kept = 0;
+  for (LogIndex i = covered; i > state.base_index; i -= LogIndex(1)) {
+    kept += static_cast<int64_t>(EntryAt(state, i).payload.size());
+    if (4 * kept <= state.options.snapshot_bytes.value) continue;
+    DropThrough(state, std::max(through, i));
+    return;
+  }
+}
+
+// ReplaceLog makes the snapshot the start of the log; entries behind it stay
+// when they continue it.
+void ReplaceLog(Context& context, const SnapshotHead& head) {
+  State& state = context.state;
+  if (TermAt(state, head.index) == head.term) {
+    DropThrough(state, head.index);
+    std::erase_if(state.memberships, [&](const MembershipAt& item) {
+      return item.index <= head.index;
+    });
+  } else {
+    TruncateFrom(context, state.base_index.Next());
+    state.synced_index = LogIndex(0);
+    state.memberships.clear();
+  }
+  state.base_index = head.index;
+  state.base_term = head.term;
+  state.memberships.insert(
+      state.memberships.begin(),
+      {.index = head.index, .membership = head.membership});
+}
+
+void Install(Context& context) {
+  State& state = context.state;
+  const SnapshotHead head = *std::exchange(state.incoming, {});
+  auto data = std::make_shared<const std::string>(
+      std::exchange(state.incoming_data, {}));
+  state.snapshot = {.head = head, .data = std::move(data)};
+  state.bytes_since_snapshot = {};
+  ReplaceLog(context, head);
+  state.commit_index = head.index;
+  context.snapshot_changed = true;
+  context.hard_state_changed = true;
+  context.actions.restore = state.snapshot;
+  ResolvePending(context);
+}
+
+void ReplyReceived(Context& context, const Message& message,
+                   const SnapshotChunk& chunk) {
+  SendDurably(context, message.from,
+              SnapshotReply{.index = chunk.head.index,
+                            .received = context.state.incoming_data.size(),
+                            .round = chunk.round});
+}
+
+}  // namespace
+
+uint64_t Checksum(const std::string& data) {
+  return XXH3_64bits(data.data(), data.size());
+}
+
+void HandleSnapshotTaken(Context& context, const SnapshotTaken& event) {
+  State& state = context.state;
+  state.snapshot_asked = false;
+  const std::optional<Term> term = TermAt(state, event.index);
+  const bool usable = event.data != nullptr && term &&
+                      event.index > state.snapshot.head.index &&
+                      event.index <= state.commit_index;
+  if (!usable) return;
+  ForgetMemberships(state, event.index);
+  state.snapshot = {.head = {.index = event.index,
+                             .term = *term,
+                             .membership = state.memberships.front().membership,
+                             .size = event.data->size(),
+                             .checksum = Checksum(*event.data)},
+                    .data = event.data};
+  state.bytes_since_snapshot = {};
+  context.snapshot_changed = true;
+  context.hard_state_changed = true;
+  Compact(state);
+}
+
+void HandleSnapshotChunk(Context& context, const Message& message,
+                         const SnapshotChunk& chunk) {
+  State& state = context.state;
+  if (chunk.head.index <= state.commit_index) {
+    SendDurably(context, message.from,
+                AppendReply{.accepted = true,
+                            .match = state.commit_index,
+                            .round = chunk.round});
+    return;
+  }
+  if (state.storage_full) return;
+  if (state.incoming != chunk.head) {
+    state.incoming = chunk.head;
+    state.incoming_data.clear();
+  }
+  if (chunk.offset == state.incoming_data.size()) {
+    state.incoming_data += chunk.data;
+  }
+  if (state.incoming_data.size() < chunk.head.size) {
+    ReplyReceived(context, message, chunk);
+    return;
+  }
+  if (Checksum(state.incoming_data) != chunk.head.checksum) {
+    state.incoming_data.clear();
+    ReplyReceived(context, message, chunk);
+    return;
+  }
+  Install(context);
+  SendDurably(
+      context, message.from,
+      AppendReply{
+          .accepted = true, .match = chunk.head.index, .round = chunk.round});
+}
+
+}  // namespace samphirebank::consensus::internal
--- a/samphirebank/storage/storage.h
+++ b/samphirebank/storage/storage.h
@@ -41,16 +41,17 @@
 // Error is what the functions of this library fail with.
 struct Error {
   ErrorKind kind = ErrorKind::kInputOutput;
-  std::string file;
+  std::string file{};
   uint64_t offset = 0;
-  std::string detail;
+  std::string detail{};
 
   // ToText names the file, the offset and how to repair it.
   std::string ToText() const;
 };
 
 // Files are the file operations of one flat folder. Each fails with Error.
-// Nothing is durable before Sync (contents) and SyncFolder (names).
+// Nothing is durable before Sync (contents) and SyncFolder (names). Sync never
+// fails with kFull: after a failed sync the contents are in doubt.
 class Files {
  public:
   virtual ~Files() = default;
@@ -75,7 +76,7 @@
 
 // Options of a data folder.
 struct Options {
-  InstanceId instance;
+  InstanceId instance{};
   // new_storage becomes the folder's identity if the folder is empty. Draw it
   // at random; it must not be 0.
   consensus::StorageId new_storage;
@@ -85,11 +86,11 @@
 // RecoveryReport tells what opening found.
 struct RecoveryReport {
   bool created = false;  // the folder was empty
-  LogIndex snapshot_index;
+  LogIndex snapshot_index{};
   uint64_t entries = 0;  // replayed from the log after the snapshot
-  Bytes log_bytes;       // read
-  Bytes torn_bytes;      // cut from the tail: a write that was never synced
-  std::string torn_file;
+  Bytes log_bytes{};     // read
+  Bytes torn_bytes{};    // cut from the tail: a write that was never synced
+  std::string torn_file{};
   uint64_t torn_offset = 0;
   Duration took{};
 };
