--- a/samphirebank/capacity/capacity.cc
+++ b/samphirebank/capacity/capacity.cc
@@ -31,18 +31,21 @@
 
 void OnReport(State& state, const Report& report, uint32_t in_flight,
               TimePoint now) {
-  const bool first_statement = state.slots == 0 && report.slots > 0;
-  const bool more_slots = report.slots > state.slots;
+  if (report.slots > state.slots) {
+    // What it says it gained it may use at once; the first time, all of it.
+    const bool first = state.slots == 0;
+    const uint32_t gained = report.slots - state.slots;
+    state.limit = first ? report.slots : state.limit + gained;
+  }
   state.slots = report.slots;
-  if (first_statement) state.limit = Ceiling(state);
   state.limit = std::min(state.limit, Ceiling(state));
   const uint32_t there = report.running + report.waiting;
   // A reading taken before the newest step says nothing about it.
   const bool settled = now - report.age >= state.stepped_at;
-  if (report.waiting > 0) {
+  if (report.waiting > state.options.headroom) {
     // Its batch is full: what runs is what it can carry.
     if (settled) StepDown(state, report.running, now);
-  } else if (in_flight + 1 >= Limit(state) || more_slots) {
+  } else if (in_flight + 1 >= Limit(state)) {
     StepUp(state, now);
   }
   // Work of routers that are gone, or that are cut off from here.
@@ -66,8 +69,8 @@
 
 uint32_t Limit(const State& state) {
   const auto limit = static_cast<uint32_t>(state.limit);
-  const uint32_t room = limit > state.excess ? limit - state.excess : 1;
-  return std::max<uint32_t>(1, room);
+  const uint32_t most = std::max<uint32_t>(1, limit) + state.options.headroom;
+  return most > state.excess ? most - state.excess : 1;
 }
 
 }  // namespace samphirebank::capacity
--- a/samphirebank/capacity/capacity.h
+++ b/samphirebank/capacity/capacity.h
@@ -24,6 +24,9 @@
 struct Options {
   double first_limit = 4;       // requests, of a target that states no slots
   double largest_limit = 4096;  // requests
+  // Requests that may wait in the target, so that its batch stays full while
+  // the end of a request becomes known.
+  uint32_t headroom = 1;
   // Least time between two steps up, so that a step shows in the reports.
   Duration step_interval = std::chrono::milliseconds(500);
   double step_share = 0.1;  // a step up adds this share, at least 1 request
@@ -71,7 +74,8 @@
 void OnObservation(State& state, const Observation& observation, TimePoint now);
 
 // Limit is how many known requests may be in flight to the target now. It is
-// at least 1, so that a target that recovers is noticed.
+// at least 1, so that a target that recovers is noticed, and includes the
+// headroom.
 uint32_t Limit(const State& state);
 
 }  // namespace samphirebank::capacity
--- a/samphirebank/queue/exchange.cc
+++ b/samphirebank/queue/exchange.cc
@@ -27,7 +27,8 @@
   return sent == pool.sent_at.end() || sent->second + after <= now;
 }
 
-sharing::OrganisationDemand Describe(const PoolQueue& pool,
+sharing::OrganisationDemand Describe(const Options& options,
+                                     const PoolQueue& pool,
                                      const OrganisationId& id,
                                      const OrganisationQueue& organisation,
                                      TimePoint now) {
@@ -42,7 +43,7 @@
   const WaitingRequest& oldest = organisation.waiting.front();
   const int64_t mean = organisation.waiting_estimate /
                        static_cast<int64_t>(organisation.waiting.size());
-  const int64_t cost = internal::PredictedCost(pool, id, mean);
+  const int64_t cost = internal::PredictedCost(options, pool, id, mean);
   demand.estimate = static_cast<uint32_t>(std::min<int64_t>(cost, UINT32_MAX));
   demand.oldest_age_ms = Milliseconds(now - oldest.since);
   demand.prefix = oldest.request.prefix;
@@ -59,7 +60,8 @@
     if (!TellAgain(pool, organisation, state.options.resend_after, now)) {
       continue;
     }
-    demand.organisations.push_back(Describe(pool, id, organisation, now));
+    demand.organisations.push_back(
+        Describe(state.options, pool, id, organisation, now));
     organisation.sent_in = demand.sequence;
     organisation.changed = false;
   }
@@ -121,8 +123,8 @@
                      const sharing::GrantItem& item, TimePoint now) {
   const WaitingRequest taken = internal::TakeWaiting(
       state, pool, organisation, organisation.waiting.begin());
-  const int64_t cost = internal::PredictedCost(pool, item.organisation,
-                                               taken.request.estimate.value);
+  const int64_t cost = internal::PredictedCost(
+      state.options, pool, item.organisation, taken.request.estimate.value);
   organisation.running += 1;
   organisation.charged += cost;
   pool.running += 1;
@@ -166,7 +168,10 @@
   const PoolQueue& queue = known->second;
   if (queue.epoch == Epoch()) return std::nullopt;
   const Options& options = state.options;
-  const TimePoint earliest = queue.last_sent + options.demand_spacing;
+  const TimePoint earliest =
+      queue.last_sent + (queue.backlogged && !queue.full_due
+                             ? options.backlog_spacing
+                             : options.demand_spacing);
   if (queue.news) return earliest;
   std::optional<TimePoint> due;
   if (queue.waiting + queue.running > 0) {
--- a/samphirebank/queue/internal/records.h
+++ b/samphirebank/queue/internal/records.h
@@ -24,8 +24,8 @@
 
 // PredictedCost corrects a request's estimate by what its organisation's
 // requests really cost here.
-int64_t PredictedCost(const PoolQueue& pool, const OrganisationId& id,
-                      int64_t estimate);
+int64_t PredictedCost(const Options& options, const PoolQueue& pool,
+                      const OrganisationId& id, int64_t estimate);
 
 // LearnCost takes the true cost of a request into account.
 void LearnCost(PoolQueue& pool, const Request& request, int64_t tokens);
--- a/samphirebank/queue/queue.h
+++ b/samphirebank/queue/queue.h
@@ -43,15 +43,21 @@
 // Options sets the pace of demands and the bounds of memory.
 struct Options {
   net::SocketAddress reply_to{};  // this router's peer address
-  // Least time between two demands to one pool.
-  Duration demand_spacing = std::chrono::milliseconds(4);
+  // Least time between two demands to one pool; the longer one holds while
+  // requests wait there anyway.
+  Duration demand_spacing = std::chrono::milliseconds(5);
+  Duration backlog_spacing = std::chrono::milliseconds(100);
   // Longest delay of a change in usage, while nothing waits in the pool.
-  Duration usage_interval = std::chrono::milliseconds(500);
+  Duration usage_interval = std::chrono::milliseconds(1000);
   // A demand is sent at least this often while anything waits or runs.
   Duration keepalive = std::chrono::milliseconds(1000);
   // Changes that were not acknowledged are sent again after this time.
-  Duration resend_after = std::chrono::milliseconds(600);
+  Duration resend_after = std::chrono::milliseconds(400);
   uint32_t max_waiting = 50'000;  // requests, over all pools
+  // Most tokens to charge in advance for a request of an organisation whose
+  // estimates are not yet known to be right. Charging too little is corrected
+  // while the request runs, charging too much only when it ends.
+  int64_t cold_estimate = 100;
 };
 
 // Request is what the queue knows of a caller's request.
@@ -133,6 +139,13 @@
   bool changed = true;
 };
 
+// CostSums compares true costs with estimates; old requests count less.
+struct CostSums {
+  double estimated = 0;  // tokens
+  double spent = 0;      // tokens
+  double requests = 0;
+};
+
 // PoolQueue is all that this router knows of one pool.
 struct PoolQueue {
   Epoch epoch{};
@@ -144,9 +157,9 @@
   std::map<uint64_t, TimePoint> sent_at{};  // of recent demands
   std::map<OrganisationId, OrganisationQueue> organisations{};
   std::map<TargetId, TargetRecord> targets{};
-  std::map<OrganisationId, double> cost_ratio{};  // true cost by estimate
-  std::set<OrganisationId> unsettled{};           // changed or not confirmed
-  std::set<TargetId> unsettled_targets{};         // changed or not confirmed
+  std::map<OrganisationId, CostSums> costs{};
+  std::set<OrganisationId> unsettled{};    // changed or not confirmed
+  std::set<TargetId> unsettled_targets{};  // changed or not confirmed
   TimePoint last_sent{};
   bool news = false;                       // due at once
   std::optional<TimePoint> usage_since{};  // of the oldest unsent usage change
--- a/samphirebank/queue/records.cc
+++ b/samphirebank/queue/records.cc
@@ -7,10 +7,11 @@
 namespace samphirebank::queue::internal {
 namespace {
 
-constexpr double kLearningRate = 0.1;
-constexpr double kLeastRatio = 0.05;
-constexpr double kLargestRatio = 50;
-constexpr size_t kMaxRatios = 50'000;
+// kMemory is the share of the sums that is left after one more request.
+constexpr double kMemory = 0.98;
+// kKnownRequests is how many requests make an organisation's costs known.
+constexpr double kKnownRequests = 5;
+constexpr size_t kMaxOrganisations = 50'000;
 
 double Seconds(Duration span) {
   return std::chrono::duration<double>(span).count();
@@ -40,23 +41,28 @@
   if (!pool.usage_since) pool.usage_since = now;
 }
 
-int64_t PredictedCost(const PoolQueue& pool, const OrganisationId& id,
-                      int64_t estimate) {
-  const auto known = pool.cost_ratio.find(id);
-  const double ratio = known == pool.cost_ratio.end() ? 1 : known->second;
-  const double cost = static_cast<double>(estimate) * ratio;
-  return std::max<int64_t>(1, static_cast<int64_t>(cost));
+int64_t PredictedCost(const Options& options, const PoolQueue& pool,
+                      const OrganisationId& id, int64_t estimate) {
+  const auto known = pool.costs.find(id);
+  if (known == pool.costs.end() || known->second.requests < kKnownRequests) {
+    return std::clamp<int64_t>(estimate, 1, options.cold_estimate);
+  }
+  const CostSums& sums = known->second;
+  const double corrected =
+      static_cast<double>(estimate) * sums.spent / sums.estimated;
+  const double mean = sums.spent / sums.requests;
+  return std::max<int64_t>(1, static_cast<int64_t>((corrected + mean) / 2));
 }
 
 void LearnCost(PoolQueue& pool, const Request& request, int64_t tokens) {
-  if (pool.cost_ratio.size() > kMaxRatios) pool.cost_ratio.clear();
-  const auto estimate =
+  if (pool.costs.size() > kMaxOrganisations) pool.costs.clear();
+  CostSums& sums = pool.costs[request.organisation];
+  sums.estimated =
+      sums.estimated * kMemory +
       static_cast<double>(std::max<int64_t>(1, request.estimate.value));
-  const double seen = std::clamp(static_cast<double>(tokens) / estimate,
-                                 kLeastRatio, kLargestRatio);
-  double& ratio =
-      pool.cost_ratio.try_emplace(request.organisation, 1.0).first->second;
-  ratio += kLearningRate * (seen - ratio);
+  sums.spent =
+      sums.spent * kMemory + static_cast<double>(std::max<int64_t>(0, tokens));
+  sums.requests = sums.requests * kMemory + 1;
 }
 
 WaitingRequest TakeWaiting(State& state, PoolQueue& pool,
--- a/samphirebank/scheduler/demand.cc
+++ b/samphirebank/scheduler/demand.cc
@@ -115,14 +115,18 @@
   }
 }
 
-// ReleaseConfirmed takes back the reservations of grants that arrived: their
-// requests are in the demand's counts.
+// kLostAfter is when a grant that the router does not know of is taken to be
+// lost on the way.
+constexpr Duration kLostAfter = std::chrono::milliseconds(300);
+
+// ReleaseConfirmed takes back the reservations of grants that arrived, whose
+// requests are in the demand's counts, and of those that were lost.
 void ReleaseConfirmed(Scheduler& scheduler, Router& router,
                       const sharing::Receipts& receipts, TimePoint now) {
   for (auto position = router.pending.begin();
        position != router.pending.end();) {
-    if (position->first > receipts.newest) break;
-    if (!receipts.Contains(position->first)) {
+    const bool lost = now - position->second.made_at >= kLostAfter;
+    if (!lost && !receipts.Contains(position->first)) {
       ++position;
       continue;
     }
--- a/samphirebank/scheduler/scheduler.h
+++ b/samphirebank/scheduler/scheduler.h
@@ -48,6 +48,8 @@
   Duration rebuild_time = std::chrono::milliseconds(1000);
   // Acknowledgements without grants are held back this long.
   Duration acknowledge_after = std::chrono::milliseconds(200);
+  // Requests that may wait in a target, so that its batch stays full.
+  uint32_t headroom = 1;
   uint32_t unknown_slots = 4;  // first capacity of a target that states none
 };
 
--- a/samphirebank/scheduler/scheduler_test.cc
+++ b/samphirebank/scheduler/scheduler_test.cc
@@ -26,7 +26,7 @@
 // Bench is one scheduler with the clock of its test.
 struct Bench {
   TimePoint now = kStart;
-  State state = Create({}, kPool, Epoch(1), kStart);
+  State state = Create({.headroom = 0}, kPool, Epoch(1), kStart);
   contracts::Configuration configuration;
   std::map<std::string, uint64_t> sequences;
 
--- a/samphirebank/scheduler/targets.cc
+++ b/samphirebank/scheduler/targets.cc
@@ -97,7 +97,8 @@
   target.observed_at = now;
   target.busy_at = now;
   target.capacity = capacity::Create(
-      {.first_limit = static_cast<double>(scheduler.options.unknown_slots)},
+      {.first_limit = static_cast<double>(scheduler.options.unknown_slots),
+       .headroom = scheduler.options.headroom},
       now);
   const auto declared = scheduler.declared.find(id);
   if (declared != scheduler.declared.end()) target.declared = declared->second;
@@ -181,7 +182,10 @@
   const bool restarted = report.incarnation > target.incarnation;
   if (!restarted && report.sequence <= target.sequence && target.known) return;
   const TimePoint taken_at = now - std::chrono::milliseconds(report.age_ms);
-  if (target.suspected || (restarted && target.known)) {
+  const bool returns =
+      target.suspected &&
+      taken_at - target.heard_at >= 2 * scheduler.options.suspect_after;
+  if (returns || (restarted && target.known)) {
     internal::CountFlap(target, now);
   }
   if (!target.known) scheduler.ring_stale = true;
--- a/samphirebank/sharing/sharing.h
+++ b/samphirebank/sharing/sharing.h
@@ -25,6 +25,7 @@
 #include "samphirebank/base/base.h"
 #include "samphirebank/contracts/contracts.h"
 #include "samphirebank/net/net.h"
+#include "samphirebank/sharing/internal/compact.h"
 #include "samphirebank/wire/wire.h"
 
 namespace samphirebank::sharing {
@@ -46,7 +47,8 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(newest, before);
+    internal::Number(archive, newest);
+    internal::Rare(archive, before);
   }
 };
 
@@ -66,8 +68,15 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(organisation, generation, waiting, running, estimate, oldest_age_ms,
-            prefix, charged, counter);
+    internal::Text(archive, organisation.value);
+    internal::Number(archive, generation);
+    internal::Number(archive, waiting);
+    internal::Number(archive, running);
+    internal::Number(archive, estimate);
+    internal::Number(archive, oldest_age_ms);
+    internal::Rare(archive, prefix);
+    internal::Signed(archive, charged);
+    internal::Rare(archive, counter);
   }
 };
 
@@ -81,7 +90,10 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(target, running, failed, tokens);
+    internal::Text(archive, target.value);
+    internal::Number(archive, running);
+    internal::Number(archive, failed);
+    internal::Number(archive, tokens);
   }
 };
 
@@ -99,8 +111,14 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(pool, epoch, sequence, full, reply_to, grants, organisations,
-            targets);
+    internal::Pool(archive, pool);
+    internal::Number(archive, epoch.value);
+    internal::Number(archive, sequence);
+    archive(full);
+    internal::Address(archive, reply_to);
+    archive(grants);
+    internal::List(archive, organisations);
+    internal::List(archive, targets);
   }
 };
 
@@ -115,7 +133,12 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(organisation, target, address, count, far, counter);
+    internal::Text(archive, organisation.value);
+    internal::Text(archive, target.value);
+    internal::Address(archive, address);
+    internal::Number(archive, count);
+    archive(far);
+    internal::Rare(archive, counter);
   }
 };
 
@@ -127,7 +150,8 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(organisation, waiting_elsewhere);
+    internal::Text(archive, organisation.value);
+    internal::Number(archive, waiting_elsewhere);
   }
 };
 
@@ -149,8 +173,16 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(pool, epoch, sequence, demands, held_ms, expires_ms, full_wanted,
-            backlogged, items, notices);
+    internal::Pool(archive, pool);
+    internal::Number(archive, epoch.value);
+    internal::Number(archive, sequence);
+    archive(demands);
+    internal::Number(archive, held_ms);
+    internal::Number(archive, expires_ms);
+    archive(full_wanted);
+    archive(backlogged);
+    internal::List(archive, items);
+    internal::List(archive, notices);
   }
 };
 
@@ -171,8 +203,16 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(pool, target, address, incarnation, sequence, intent, slots,
-            running, waiting, age_ms);
+    internal::Pool(archive, pool);
+    internal::Text(archive, target.value);
+    internal::Address(archive, address);
+    internal::Number(archive, incarnation);
+    internal::Number(archive, sequence);
+    archive(intent);
+    internal::Number(archive, slots);
+    internal::Number(archive, running);
+    internal::Number(archive, waiting);
+    internal::Number(archive, age_ms);
   }
 };
 
@@ -184,7 +224,9 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(organisation, generation, charged);
+    internal::Text(archive, organisation.value);
+    internal::Number(archive, generation);
+    internal::Signed(archive, charged);
   }
 };
 
@@ -196,7 +238,9 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(target, address, slots);
+    internal::Text(archive, target.value);
+    internal::Address(archive, address);
+    internal::Number(archive, slots);
   }
 };
 
@@ -207,7 +251,8 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(target, running);
+    internal::Text(archive, target.value);
+    internal::Number(archive, running);
   }
 };
 
@@ -228,8 +273,16 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(pool, epoch, sequence, answers, held_ms, expires_ms, wants_slots,
-            organisations, loans, uses);
+    internal::Pool(archive, pool);
+    internal::Number(archive, epoch.value);
+    internal::Number(archive, sequence);
+    internal::Number(archive, answers);
+    internal::Number(archive, held_ms);
+    internal::Number(archive, expires_ms);
+    archive(wants_slots);
+    internal::List(archive, organisations);
+    internal::List(archive, loans);
+    internal::List(archive, uses);
   }
 };
 
--- a/samphirebank/sharing/sharing_test.cc
+++ b/samphirebank/sharing/sharing_test.cc
@@ -29,5 +29,40 @@
   }));
 }
 
+TEST_CASE("messages read as they were written, any number in any field") {
+  CHECK(rc::check("demand", [] {
+    Demand demand{.pool = {RegionId("r"), ServiceId("s")}, .epoch = Epoch(7)};
+    demand.sequence = *rc::gen::arbitrary<uint64_t>();
+    demand.reply_to = {"10.0.0.1", *rc::gen::arbitrary<uint16_t>()};
+    demand.grants.before = *rc::gen::arbitrary<uint64_t>();
+    OrganisationDemand told{.organisation = OrganisationId("o")};
+    told.waiting = *rc::gen::arbitrary<uint32_t>();
+    told.charged = *rc::gen::arbitrary<int64_t>();
+    told.counter = *rc::gen::arbitrary<double>();
+    demand.organisations = {told, told};
+    demand.targets = {{.target = TargetId("t"), .running = 300}};
+    const wire::Packet packet = wire::Encode(demand);
+    const auto read = wire::Decode<Demand>(packet);
+    RC_ASSERT(bool(read));
+    RC_ASSERT(read->pool == demand.pool);
+    RC_ASSERT(read->sequence == demand.sequence);
+    RC_ASSERT(read->reply_to == demand.reply_to);
+    RC_ASSERT(read->grants == demand.grants);
+    RC_ASSERT(read->organisations.size() == size_t{2});
+    RC_ASSERT(read->organisations[1].charged == told.charged);
+    RC_ASSERT(read->organisations[1].waiting == told.waiting);
+    RC_ASSERT(read->targets[0].running == uint32_t{300});
+    RC_ASSERT(wire::Encode(*read).payload == packet.payload);
+  }));
+}
+
+TEST_CASE("a malformed length is refused") {
+  wire::Packet packet = wire::Encode(Demand{});
+  packet.payload.append(9, '\xff');
+  CHECK(!wire::Decode<Demand>(packet));
+  packet.payload.assign(64, '\xff');
+  CHECK(!wire::Decode<Demand>(packet));
+}
+
 }  // namespace
 }  // namespace samphirebank::sharing
