Add the relay of answers: headers, event framing, usage, wholeness

Server-sent events pass only whole, so that a cut falls between two and a resume knows how many the caller has. An answer that carries another request's id never passes; a target whose announcement promises the echo must send it.

--- a/samphirebank/outcome/outcome_world_test.cc
+++ b/samphirebank/outcome/outcome_world_test.cc
@@ -179,12 +179,13 @@
   // Progress lets the target send the next part of its answer.
   void Progress(size_t position) {
     const Call call = this->calls[position];
+    const bool stream = call.arrival % 2 == 0;
     if (!call.at_target || !call.open) return;
     if (!call.head_sent) {
       this->calls[position].head_sent = true;
       this->Do(call.arrival, HeadReceived{.attempt = call.attempt,
                                           .status = call.run == 0 ? 503 : 200,
-                                          .event_stream = true,
+                                          .event_stream = stream,
                                           .states_not_run = call.run == 0});
       return;
     }
@@ -197,7 +198,7 @@
     this->arrivals[call.arrival].held += Piece(call.run, call.next);
     this->Do(call.arrival, BodyReceived{.attempt = call.attempt,
                                         .bytes = Bytes(4),
-                                        .events = 1,
+                                        .events = stream ? 1u : 0u,
                                         .tokens = Tokens(1)});
   }
 
--- a/samphirebank/relay/relay.h
+++ b/samphirebank/relay/relay.h
@@ -31,6 +31,7 @@
 // kRequestIdHeader carries the attempt's id to the target; a target whose
 // announcement says so echoes it in its answer.
 inline constexpr std::string_view kRequestIdHeader = "samphirebank-request-id";
+// Without such an announcement a missing echo is taken, a different one never.
 // kNotRunHeader, with the value "true" in an answer, is a target's statement
 // that it refused the request before running any of it.
 inline constexpr std::string_view kNotRunHeader = "samphirebank-not-run";
@@ -70,10 +71,9 @@
 
 // AnswerOptions says what is known of the request and its target.
 struct AnswerOptions {
-  RequestId request;                   // as sent in kRequestIdHeader
-  bool target_echoes_id = false;       // by its announcement
-  bool target_states_not_run = false;  // kNotRunHeader may be believed
-  bool model_stream = false;           // a stream must end with "data: [DONE]"
+  RequestId request;              // as sent in kRequestIdHeader
+  bool target_echoes_id = false;  // by its announcement
+  bool model_stream = false;      // a stream must end with "data: [DONE]"
   Limits limits;
 };
 
@@ -99,9 +99,9 @@
   std::optional<Fault> fault;  // once set, nothing more passes
   Progress progress;
 
-  std::string held;  // the start of an event, or a short JSON body
-  bool line_has_data = false;
-  bool after_cr = false;
+  std::string held;        // the start of an event, or of a JSON body
+  bool line_empty = true;  // nothing since the last line break
+  bool after_cr = false;   // a line feed now belongs to the break before
 };
 
 // BeginAnswer reads the head.
