--- a/samphirebank/measure/measure.h
+++ b/samphirebank/measure/measure.h
@@ -100,10 +100,13 @@
 
 // Result is what a run measured.
 struct Result {
-  // Largest difference, over any span in which both had requests waiting, of
-  // the weighted true cost of requests that began, between two organisations.
+  // Largest difference between two organisations, over any span in which both
+  // had requests waiting, of the weighted service they received: tokens
+  // generated. In tokens.
   double gap = 0;
-  double received_gap = 0;  // the same of tokens that were generated
+  // The same of the whole true cost of each request, counted when it begins;
+  // nobody knows it then.
+  double begun_gap = 0;
   // What an ideal central queue of known costs may differ by: twice the
   // largest cost by weight.
   double ideal_bound = 0;
--- a/samphirebank/queue/internal/records.h
+++ b/samphirebank/queue/internal/records.h
@@ -22,8 +22,8 @@
 void MarkTargetChanged(PoolQueue& pool, const TargetId& id,
                        TargetRecord& target, TimePoint now);
 
-// PredictedCost corrects a request's estimate by what its organisation's
-// requests really cost here.
+// PredictedCost is what to charge for a request in advance: the mean cost of
+// its organisation's requests here; until that is known, little.
 int64_t PredictedCost(const Options& options, const PoolQueue& pool,
                       const OrganisationId& id, int64_t estimate);
 
--- a/samphirebank/queue/queue.h
+++ b/samphirebank/queue/queue.h
@@ -55,7 +55,7 @@
   Duration resend_after = std::chrono::milliseconds(400);
   uint32_t max_waiting = 50'000;  // requests, over all pools
   // Most tokens to charge in advance for a request of an organisation whose
-  // estimates are not yet known to be right. Charging too little is corrected
+  // mean cost is not known yet. Charging too little is corrected
   // while the request runs, charging too much only when it ends.
   int64_t cold_estimate = 100;
 };
@@ -139,10 +139,9 @@
   bool changed = true;
 };
 
-// CostSums compares true costs with estimates; old requests count less.
+// CostSums gives an organisation's mean cost; old requests count less.
 struct CostSums {
-  double estimated = 0;  // tokens
-  double spent = 0;      // tokens
+  double spent = 0;  // tokens
   double requests = 0;
 };
 
--- a/samphirebank/queue/records.cc
+++ b/samphirebank/queue/records.cc
@@ -48,18 +48,13 @@
     return std::clamp<int64_t>(estimate, 1, options.cold_estimate);
   }
   const CostSums& sums = known->second;
-  const double corrected =
-      static_cast<double>(estimate) * sums.spent / sums.estimated;
   const double mean = sums.spent / sums.requests;
-  return std::max<int64_t>(1, static_cast<int64_t>((corrected + mean) / 2));
+  return std::max<int64_t>(1, static_cast<int64_t>(mean));
 }
 
 void LearnCost(PoolQueue& pool, const Request& request, int64_t tokens) {
   if (pool.costs.size() > kMaxOrganisations) pool.costs.clear();
   CostSums& sums = pool.costs[request.organisation];
-  sums.estimated =
-      sums.estimated * kMemory +
-      static_cast<double>(std::max<int64_t>(1, request.estimate.value));
   sums.spent =
       sums.spent * kMemory + static_cast<double>(std::max<int64_t>(0, tokens));
   sums.requests = sums.requests * kMemory + 1;
