Count a target's renewal as news, also without a load report

Cause: the first streamed request through the whole path waited 7.0 s. The trial's target renewed by announcing and never reported load, and the registry stated the age of its last load reading, so the scheduler took it for silent and then for flapping. Ruled out: the lease (3 s left throughout) and the queue (the request was filed at once). Change: the age is that of the last renewal; a load reading older than three renewals is left out.

--- a/samphirebank/targets/registry.cc
+++ b/samphirebank/targets/registry.cc
@@ -25,11 +25,21 @@
   return now - record.heard_at > limit;
 }
 
-sharing::TargetState StateOf(const Record& record, const ServiceOffer& offer,
-                             TimePoint now) {
+// CurrentLoad is the last report, or none once the target renews without
+// reporting.
+Load CurrentLoad(const Registry& registry, const Record& record,
+                 TimePoint now) {
+  const Duration limit =
+      record.announcement.renew * registry.options.missed_renewals;
+  return now - record.load_at > limit ? Load{} : record.load;
+}
+
+sharing::TargetState StateOf(const Registry& registry, const Record& record,
+                             const ServiceOffer& offer, TimePoint now) {
   const Announcement& announcement = record.announcement;
+  const Load load = CurrentLoad(registry, record, now);
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      now - record.load_at);
+      now - record.heard_at);
   return sharing::TargetState{
       .pool = {.region = announcement.region, .service = offer.name},
       .target = announcement.id,
@@ -39,8 +49,8 @@
       .intent = record.leaving ? contracts::TargetIntent::kLeaving
                                : contracts::TargetIntent::kServing,
       .slots = announcement.slots,
-      .running = record.load.running,
-      .waiting = record.load.waiting,
+      .running = load.running,
+      .waiting = load.waiting,
       .age_ms = static_cast<uint32_t>(age.count())};
 }
 
@@ -92,7 +102,7 @@
     record.news = false;
     record.forwarded_at = now;
     for (const ServiceOffer& offer : record.announcement.services) {
-      states.push_back(StateOf(record, offer, now));
+      states.push_back(StateOf(registry, record, offer, now));
     }
   }
   return states;
--- a/samphirebank/targets/targets_test.cc
+++ b/samphirebank/targets/targets_test.cc
@@ -42,6 +42,22 @@
   CHECK(renewed[0].sequence == 2);
 }
 
+TEST_CASE("a renewal without a load report counts as heard, with no load") {
+  Registry registry;
+  Announce(registry, Sample(), 7, kStart);
+  ReportLoad(registry, TargetId("t1"), {.running = 3}, kStart);
+  TakeDue(registry, kStart);
+  const TimePoint later = kStart + milliseconds(2900);
+  Announce(registry, Sample(), 8, later);
+  CHECK(TakeDue(registry, later).at(0).running == 3);
+  const TimePoint last = kStart + milliseconds(4000);
+  Announce(registry, Sample(), 9, last);
+  const auto told = TakeDue(registry, last);
+  REQUIRE(told.size() == 2);
+  CHECK(told[0].age_ms == 0);
+  CHECK(told[0].running == 0);
+}
+
 TEST_CASE("a leaving target is told at once; a silent one is dropped") {
   Registry registry;
   Announce(registry, Sample(), 7, kStart);
