--- a/samphirebank/queue/exchange.cc
+++ b/samphirebank/queue/exchange.cc
@@ -39,6 +39,7 @@
       .running = organisation.running,
       .charged = organisation.charged,
       .counter = organisation.counter};
+  demand.cost_known = internal::CostKnown(pool, id);
   if (organisation.waiting.empty()) return demand;
   const WaitingRequest& oldest = organisation.waiting.front();
   const int64_t mean = organisation.waiting_estimate /
--- a/samphirebank/queue/internal/records.h
+++ b/samphirebank/queue/internal/records.h
@@ -27,6 +27,9 @@
 int64_t PredictedCost(const Options& options, const PoolQueue& pool,
                       const OrganisationId& id, int64_t estimate);
 
+// CostKnown says whether an organisation's mean cost is known.
+bool CostKnown(const PoolQueue& pool, const OrganisationId& id);
+
 // LearnCost takes the true cost of a request into account.
 void LearnCost(PoolQueue& pool, const Request& request, int64_t tokens);
 
--- a/samphirebank/queue/records.cc
+++ b/samphirebank/queue/records.cc
@@ -43,15 +43,19 @@
 
 int64_t PredictedCost(const Options& options, const PoolQueue& pool,
                       const OrganisationId& id, int64_t estimate) {
-  const auto known = pool.costs.find(id);
-  if (known == pool.costs.end() || known->second.requests < kKnownRequests) {
+  if (!CostKnown(pool, id)) {
     return std::clamp<int64_t>(estimate, 1, options.cold_estimate);
   }
-  const CostSums& sums = known->second;
+  const CostSums& sums = pool.costs.at(id);
   const double mean = sums.spent / sums.requests;
   return std::max<int64_t>(1, static_cast<int64_t>(mean));
 }
 
+bool CostKnown(const PoolQueue& pool, const OrganisationId& id) {
+  const auto known = pool.costs.find(id);
+  return known != pool.costs.end() && known->second.requests >= kKnownRequests;
+}
+
 void LearnCost(PoolQueue& pool, const Request& request, int64_t tokens) {
   if (pool.costs.size() > kMaxOrganisations) pool.costs.clear();
   CostSums& sums = pool.costs[request.organisation];
--- a/samphirebank/scheduler/demand.cc
+++ b/samphirebank/scheduler/demand.cc
@@ -77,6 +77,7 @@
   internal::SetRunning(scheduler, source, told.running);
   source.estimate = std::max<uint32_t>(1, told.estimate);
   source.prefix = told.prefix;
+  organisation.cost_known = organisation.cost_known || told.cost_known;
   source.oldest_at = now - std::chrono::milliseconds(told.oldest_age_ms);
   source.changed_at = now;
   internal::List(source);
--- a/samphirebank/scheduler/grants.cc
+++ b/samphirebank/scheduler/grants.cc
@@ -14,6 +14,9 @@
 // kLoadBound is how far above the mean load a prefix may load its target.
 constexpr double kLoadBound = 1.25;
 
+// kCandidates is how many organisations are looked at for one grant.
+constexpr uint32_t kCandidates = 16;
+
 uint32_t Milliseconds(Duration span) {
   const auto count =
       std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
@@ -98,12 +101,40 @@
   internal::List(source);
 }
 
-// GrantOne grants the next request of the organisation with the smallest
-// counter.
+// kKnownSlack and kUnknownSlack are how many times its share of the slots an
+// organisation may hold while others wait, by whether its costs are known.
+constexpr double kKnownSlack = 2;
+constexpr double kUnknownSlack = 1;
+
+// HoldsTooMuch says whether an organisation runs so much that its requests,
+// whose costs nobody knows, could bring it far above its share later.
+bool HoldsTooMuch(const Scheduler& scheduler,
+                  const Organisation& organisation) {
+  const double weight = std::max<uint32_t>(1, organisation.limits.weight);
+  const double share =
+      scheduler.capacity * weight / std::max(weight, scheduler.active_weight);
+  const auto held =
+      static_cast<double>(organisation.running + organisation.reserved);
+  const double slack = organisation.cost_known ? kKnownSlack : kUnknownSlack;
+  return held >= slack * share + 1;
+}
+
+// NextOrganisation returns the one with the smallest counter of those that do
+// not hold too much; if the first ones all do, the very first.
+Organisation& NextOrganisation(const Scheduler& scheduler) {
+  uint32_t left = kCandidates;
+  for (const auto& [counter, number, organisation] : scheduler.ready) {
+    if (!HoldsTooMuch(scheduler, *organisation)) return *organisation;
+    if (--left == 0) break;
+  }
+  return *std::get<Organisation*>(*scheduler.ready.begin());
+}
+
+// GrantOne grants one request to one target.
 void GrantOne(Scheduler& scheduler, TimePoint now) {
-  Organisation& organisation =
-      *std::get<Organisation*>(*scheduler.ready.begin());
-  scheduler.floor = std::max(scheduler.floor, organisation.counter);
+  scheduler.floor =
+      std::max(scheduler.floor, std::get<double>(*scheduler.ready.begin()));
+  Organisation& organisation = NextOrganisation(scheduler);
   RouterOrganisation& source =
       *std::get<RouterOrganisation*>(*organisation.sources.begin());
   Target& target = ChooseTarget(scheduler, source.prefix);
--- a/samphirebank/scheduler/internal/state.h
+++ b/samphirebank/scheduler/internal/state.h
@@ -63,15 +63,17 @@
   OrganisationId id{};
   uint64_t number = 0;  // breaks ties
   Limits limits{};
-  bool allowed = false;  // by contract
-  double counter = 0;    // tokens by weight, granted ones included
-  uint64_t waiting = 0;  // requests, as routers reported
+  bool allowed = false;     // by contract
+  double counter = 0;       // tokens by weight, granted ones included
+  bool cost_known = false;  // to a router, from ended requests
+  uint64_t waiting = 0;     // requests, as routers reported
   uint64_t running = 0;
   uint64_t reserved = 0;
   uint32_t references = 0;  // router records
   std::set<Source> sources{};
   Bucket requests{};
   Bucket tokens{};
+  bool active = false;  // in Scheduler::active_weight
   bool ready = false;   // in Scheduler::ready
   TimePoint left_at{};  // when it stopped being ready for want of requests
   bool seeded = false;  // its counter is known
@@ -187,6 +189,8 @@
   std::vector<Target*> ring_targets{};  // by the ring's positions
   bool ring_stale = true;
   double floor = 0;  // the smallest counter of a ready organisation, so far
+  double active_weight = 0;  // of organisations that wait or run
+  double capacity = 0;       // requests that the serving targets can carry
   uint64_t last_number = 0;
   uint64_t waiting = 0;
   uint64_t running = 0;
--- a/samphirebank/scheduler/records.cc
+++ b/samphirebank/scheduler/records.cc
@@ -42,6 +42,16 @@
                           &organisation);
 }
 
+// CountActive keeps the sum of the active organisations' weights.
+void CountActive(Scheduler& scheduler, Organisation& organisation) {
+  const bool active = organisation.running + organisation.reserved > 0 ||
+                      !organisation.sources.empty();
+  if (active == organisation.active) return;
+  organisation.active = active;
+  const double weight = Weight(organisation);
+  scheduler.active_weight += active ? weight : -weight;
+}
+
 bool AtConcurrency(const Organisation& organisation) {
   const uint32_t most = organisation.limits.concurrency;
   return most != 0 && organisation.running + organisation.reserved >= most;
@@ -62,9 +72,13 @@
 }
 
 void UseLimits(Scheduler& scheduler, Organisation& organisation) {
+  const double weight_before = Weight(organisation);
   const auto known = scheduler.contracts.find(organisation.id);
   organisation.allowed = known != scheduler.contracts.end();
   if (organisation.allowed) organisation.limits = known->second;
+  if (organisation.active) {
+    scheduler.active_weight += Weight(organisation) - weight_before;
+  }
 }
 
 void Charge(Scheduler& scheduler, Organisation& organisation, int64_t tokens) {
@@ -83,6 +97,7 @@
 }
 
 void Place(Scheduler& scheduler, Organisation& organisation, TimePoint now) {
+  CountActive(scheduler, organisation);
   LeaveBlocked(scheduler, organisation);
   if (organisation.sources.empty()) {
     if (organisation.ready) organisation.left_at = now;
@@ -204,7 +219,7 @@
   std::erase_if(scheduler.organisations, [&](const auto& item) {
     const Organisation& organisation = item.second;
     return organisation.references == 0 && !organisation.ready &&
-           organisation.counter <= scheduler.floor;
+           !organisation.active && organisation.counter <= scheduler.floor;
   });
 }
 
--- a/samphirebank/scheduler/scheduler_test.cc
+++ b/samphirebank/scheduler/scheduler_test.cc
@@ -128,6 +128,7 @@
   auto running = Wants("a", 50);
   running.running = 100;
   running.charged = 10'000;
+  running.cost_known = true;
   bench.Ask("r1", {running, Wants("b", 50)},
             {{.target = TargetId("t1"), .running = 100}}, 1);
   CHECK(bench.Granted() == Counts{{"a", 5}, {"b", 5}});
--- a/samphirebank/scheduler/targets.cc
+++ b/samphirebank/scheduler/targets.cc
@@ -148,6 +148,7 @@
 
 void CheckTargets(Scheduler& scheduler, TimePoint now) {
   const double usual = UsualSpeed(scheduler);
+  scheduler.capacity = 0;
   for (auto position = scheduler.targets.begin();
        position != scheduler.targets.end();) {
     Target& target = position->second;
@@ -158,6 +159,7 @@
       target.suspected = true;
     }
     PlaceTarget(scheduler, target, now);
+    if (Serving(scheduler, target, now)) scheduler.capacity += Limit(target);
     const bool idle = InFlight(target) == 0 && target.loan_used == 0;
     const bool gone = silence >= scheduler.options.drop_after && idle;
     if (!gone) {
--- a/samphirebank/sharing/sharing.h
+++ b/samphirebank/sharing/sharing.h
@@ -61,6 +61,7 @@
   uint32_t waiting = 0;        // requests
   uint32_t running = 0;        // requests
   uint32_t estimate = 0;       // tokens, mean over the waiting requests
+  bool cost_known = false;     // the estimate rests on ended requests
   uint32_t oldest_age_ms = 0;  // of the request that waits longest
   uint64_t prefix = 0;         // hash of that request's prefix; 0: none
   int64_t charged = 0;         // tokens: seen or, while more, estimated
@@ -73,6 +74,7 @@
     internal::Number(archive, waiting);
     internal::Number(archive, running);
     internal::Number(archive, estimate);
+    archive(cost_known);
     internal::Number(archive, oldest_age_ms);
     internal::Rare(archive, prefix);
     internal::Signed(archive, charged);
