Let grants carry what a target states of itself; exchange counters

Cause: an entry router keeps no list of targets, yet it has to know whether a target echoes request ids, marks refusals before running, and resumes streams. One byte in the announcement's way through scheduler and grant tells it. Schedulers of one service in two regions now exchange counters every 400 ms while one of them has work waiting. Not yet measured across processes.

--- a/samphirebank/queue/exchange.cc
+++ b/samphirebank/queue/exchange.cc
@@ -140,7 +140,8 @@
   return Dispatch{.id = taken.request.id,
                   .target = item.target,
                   .address = item.address,
-                  .far = item.far};
+                  .far = item.far,
+                  .traits = item.traits};
 }
 
 void ApplyItem(State& state, PoolQueue& pool, const sharing::GrantItem& item,
--- a/samphirebank/queue/queue.h
+++ b/samphirebank/queue/queue.h
@@ -98,6 +98,7 @@
   net::SocketAddress address{};
   Epoch epoch{};
   bool far = false;  // the target is in another region
+  sharing::TargetTraits traits{};
   TimePoint expires{};
 };
 
--- a/samphirebank/router/internal/state.h
+++ b/samphirebank/router/internal/state.h
@@ -27,6 +27,7 @@
 #include "samphirebank/retry/retry.h"
 #include "samphirebank/scheduler/scheduler.h"
 #include "samphirebank/settings/settings.h"
+#include "samphirebank/sharing/sharing.h"
 #include "samphirebank/targets/targets.h"
 #include "samphirebank/wire/wire.h"
 
@@ -53,6 +54,7 @@
   // The newest attempt.
   std::shared_ptr<net::ClientCall> call;
   net::TimerId dispatch_timer;
+  sharing::TargetTraits traits;
   relay::Answer answer;
   std::vector<net::Header> answer_headers;
   std::string held;         // of the answer, not yet passed on
@@ -101,6 +103,10 @@
   std::map<PoolId, scheduler::State> schedulers;
   std::map<PoolId, Epoch> scheduled_epochs;
   std::map<PoolId, TimePoint> pool_asked;
+  // Pools of other regions whose schedulers exchange counters with those
+  // here: when each was last heard and told.
+  std::map<PoolId, TimePoint> share_heard;
+  std::map<PoolId, TimePoint> share_sent;
   targets::Registry targets;
 
   claims::Client claims;
--- a/samphirebank/router/pools.cc
+++ b/samphirebank/router/pools.cc
@@ -18,6 +18,10 @@
 // The loop turns at least this often; polls and expiries depend on it.
 constexpr Duration kPumpInterval = std::chrono::milliseconds(20);
 constexpr Duration kAskPoolInterval = std::chrono::milliseconds(500);
+// Schedulers of one service in two regions tell each other their counters at
+// this pace, while one of them has work waiting.
+constexpr Duration kShareInterval = std::chrono::milliseconds(400);
+constexpr Duration kShareMemory = std::chrono::seconds(2);
 
 const contracts::SchedulerAssignment* FindAssignment(const Router& router,
                                                      const PoolId& pool) {
@@ -90,11 +94,42 @@
   }
 }
 
+// SendShare tells one neighbour, if there is something to tell: work waits
+// here, or the neighbour itself told something lately.
+void SendShare(Router& router, scheduler::State& state, const PoolId& neighbour,
+               const contracts::SchedulerAssignment& holder, TimePoint now) {
+  TimePoint& sent = router.share_sent[neighbour];
+  if (sent != TimePoint() && now - sent < kShareInterval) return;
+  const auto heard = router.share_heard.find(neighbour);
+  const bool answers =
+      heard != router.share_heard.end() && now - heard->second < kShareMemory;
+  if (!answers && scheduler::Summarize(state).waiting == 0) return;
+  sent = now;
+  const scheduler::OutgoingShare out =
+      scheduler::BuildCounterShare(state, neighbour, now);
+  if (IsOwn(router, holder)) {
+    OnCounterShare(router, out.share, now);
+  } else {
+    SendMessage(router, holder.address, out.share);
+  }
+}
+
+void SendShares(Router& router, TimePoint now) {
+  const auto& pools = router.holder.history.configuration.pools;
+  for (auto& [own, state] : router.schedulers) {
+    for (const auto& [pool, record] : pools) {
+      if (pool.service != own.service || pool == own) continue;
+      SendShare(router, state, pool, record.value, now);
+    }
+  }
+}
+
 outcome::Grant ToGrant(const queue::Dispatch& dispatch) {
   return {.target = dispatch.target,
           .address = dispatch.address,
           .epoch = dispatch.epoch,
-          .expires = dispatch.expires};
+          .expires = dispatch.expires,
+          .can_resume = dispatch.traits.can_resume};
 }
 
 }  // namespace
@@ -144,6 +179,9 @@
   if (!lease::MayAct(router.holder, now)) return;
   for (const queue::Dispatch& dispatch :
        queue::ApplyGrant(router.queues, grant, now)) {
+    const auto request = router.requests.find(dispatch.id);
+    if (request == router.requests.end()) continue;
+    request->second->traits = dispatch.traits;
     Raise(router, dispatch.id, outcome::GrantGot{.grant = ToGrant(dispatch)});
   }
 }
@@ -159,6 +197,7 @@
   for (auto& [pool, state] : router.schedulers) {
     const bool same_service = pool.service == share.pool.service;
     if (!same_service || pool == share.pool) continue;
+    router.share_heard[share.pool] = now;
     scheduler::OnCounterShare(state, share, now);
   }
 }
@@ -167,6 +206,7 @@
   SendTargetStates(router, now);
   SendDemands(router, now);
   SendGrants(router, now);
+  SendShares(router, now);
   // What the grants started or returned may be told at once.
   SendDemands(router, now);
 }
--- a/samphirebank/scheduler/grants.cc
+++ b/samphirebank/scheduler/grants.cc
@@ -79,7 +79,8 @@
                                             .address = target.address,
                                             .count = 1,
                                             .far = target.far,
-                                            .counter = organisation.counter});
+                                            .counter = organisation.counter,
+                                            .traits = target.traits});
   router.reservations.push_back(Reservation{.source = &source,
                                             .target = &target,
                                             .count = 1,
--- a/samphirebank/scheduler/internal/state.h
+++ b/samphirebank/scheduler/internal/state.h
@@ -90,6 +90,7 @@
   TargetId id{};
   uint64_t number = 0;  // breaks ties
   net::SocketAddress address{};
+  sharing::TargetTraits traits{};
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
   contracts::TargetIntent intent = contracts::TargetIntent::kServing;
--- a/samphirebank/scheduler/share.cc
+++ b/samphirebank/scheduler/share.cc
@@ -71,6 +71,7 @@
     target.known = true;
     target.far = true;
     target.address = loan.address;
+    target.traits = loan.traits;
     target.loan = loan.slots;
     target.loan_until = expires;
     target.heard_at = now;
@@ -104,8 +105,10 @@
     target.loan = slots;
     target.loan_until = now + kLoanLifetime;
     internal::PlaceTarget(scheduler, target, now);
-    share.loans.push_back(sharing::SlotLoan{
-        .target = id, .address = target.address, .slots = slots});
+    share.loans.push_back(sharing::SlotLoan{.target = id,
+                                            .address = target.address,
+                                            .slots = slots,
+                                            .traits = target.traits});
   }
 }
 
--- a/samphirebank/scheduler/targets.cc
+++ b/samphirebank/scheduler/targets.cc
@@ -195,6 +195,7 @@
   target.known = true;
   target.heard_at = std::max(target.heard_at, taken_at);
   target.address = report.address;
+  target.traits = report.traits;
   target.incarnation = report.incarnation;
   target.sequence = report.sequence;
   target.intent = report.intent;
--- a/samphirebank/sharing/sharing.h
+++ b/samphirebank/sharing/sharing.h
@@ -124,6 +124,29 @@
   }
 };
 
+// TargetTraits is what a target states of its own behaviour; one byte on the
+// wire.
+struct TargetTraits {
+  bool can_resume = false;      // goes on with a cut stream
+  bool echoes_id = false;       // names the request that it answers
+  bool states_not_run = false;  // marks what it refused before running
+  bool checks_fencing = false;  // refuses orders with a stale fencing number
+
+  friend bool operator==(const TargetTraits&, const TargetTraits&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    auto bits = static_cast<uint8_t>(
+        (this->can_resume ? 1U : 0U) | (this->echoes_id ? 2U : 0U) |
+        (this->states_not_run ? 4U : 0U) | (this->checks_fencing ? 8U : 0U));
+    archive(bits);
+    this->can_resume = (bits & 1U) != 0;
+    this->echoes_id = (bits & 2U) != 0;
+    this->states_not_run = (bits & 4U) != 0;
+    this->checks_fencing = (bits & 8U) != 0;
+  }
+};
+
 // GrantItem lets a router dispatch `count` requests of one organisation.
 struct GrantItem {
   OrganisationId organisation{};
@@ -132,6 +155,7 @@
   uint32_t count = 0;
   bool far = false;    // the target is in another region
   double counter = 0;  // the organisation's, after this grant
+  TargetTraits traits{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
@@ -139,7 +163,7 @@
     internal::Text(archive, target.value);
     internal::Address(archive, address);
     internal::Number(archive, count);
-    archive(far);
+    archive(far, traits);
     internal::Rare(archive, counter);
   }
 };
@@ -202,6 +226,7 @@
   uint32_t running = 0;  // requests in its batch
   uint32_t waiting = 0;  // requests admitted but not in its batch
   uint32_t age_ms = 0;   // of this reading when it was forwarded
+  TargetTraits traits{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
@@ -210,7 +235,7 @@
     internal::Address(archive, address);
     internal::Number(archive, incarnation);
     internal::Number(archive, sequence);
-    archive(intent);
+    archive(intent, traits);
     internal::Number(archive, slots);
     internal::Number(archive, running);
     internal::Number(archive, waiting);
@@ -237,12 +262,14 @@
   TargetId target{};
   net::SocketAddress address{};
   uint32_t slots = 0;
+  TargetTraits traits{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
     internal::Text(archive, target.value);
     internal::Address(archive, address);
     internal::Number(archive, slots);
+    archive(traits);
   }
 };
 
--- a/samphirebank/targets/announcement.cc
+++ b/samphirebank/targets/announcement.cc
@@ -109,8 +109,10 @@
   announcement.services = ReadOffers(object, read.findings);
   announcement.slots =
       static_cast<uint32_t>(reader.Number("slots", 0, kMaxSlots, 0));
-  announcement.checks_fencing = reader.Flag("checks_fencing");
-  announcement.can_resume = reader.Flag("can_resume");
+  announcement.traits = {.can_resume = reader.Flag("can_resume"),
+                         .echoes_id = reader.Flag("echoes_request_id"),
+                         .states_not_run = reader.Flag("states_not_run"),
+                         .checks_fencing = reader.Flag("checks_fencing")};
   announcement.renew = std::chrono::milliseconds(
       reader.Number("renew_ms", kMinRenewMs, kMaxRenewMs, 1'000));
   return read;
--- a/samphirebank/targets/registry.cc
+++ b/samphirebank/targets/registry.cc
@@ -51,7 +51,8 @@
       .slots = announcement.slots,
       .running = load.running,
       .waiting = load.waiting,
-      .age_ms = static_cast<uint32_t>(age.count())};
+      .age_ms = static_cast<uint32_t>(age.count()),
+      .traits = announcement.traits};
 }
 
 }  // namespace
--- a/samphirebank/targets/targets.h
+++ b/samphirebank/targets/targets.h
@@ -42,8 +42,7 @@
   net::SocketAddress address;
   std::vector<ServiceOffer> services;
   uint32_t slots = 0;  // requests it batches; 0: not stated
-  bool checks_fencing = false;
-  bool can_resume = false;
+  sharing::TargetTraits traits;
   Duration renew = std::chrono::seconds(1);
 
   friend bool operator==(const Announcement&, const Announcement&) = default;
