--- /dev/null
+++ b/samphirebank/control/consensus_replication.cc
@@ -0,0 +1,440 @@
+#include <sodium.h>
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "samphirebank/consensus/consensus.h"
+#include "samphirebank/control/internal/replication.h"
+#include "samphirebank/events/events.h"
+#include "samphirebank/storage/storage.h"
+
+namespace samphirebank::control {
+namespace {
+
+using consensus::MemberId;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kTickPeriod = milliseconds(20);
+constexpr Duration kFullRetry = milliseconds(500);
+constexpr Duration kReplaceRetry = milliseconds(200);
+constexpr Duration kReplaceLimit = seconds(60);
+constexpr size_t kKeptResults = 8192;
+
+uint64_t RandomNumber() {
+  uint64_t number = 0;
+  while (number == 0) randombytes_buf(&number, sizeof(number));
+  return number;
+}
+
+// ValueOrThrow turns a storage failure into an exception: without its data
+// folder an instance cannot start.
+template <typename Open>
+auto ValueOrThrow(Open open) {
+  using Value = std::decay_t<decltype(*open())>;
+  std::string failure;
+  auto value = wire::leaf::try_handle_all(
+      [&]() -> wire::leaf::result<std::optional<Value>> {
+        BOOST_LEAF_AUTO(opened, open());
+        return std::optional<Value>(std::move(opened));
+      },
+      [&](const storage::Error& error) {
+        failure = error.ToText();
+        return std::optional<Value>();
+      },
+      [&] {
+        failure = "the data folder cannot be opened";
+        return std::optional<Value>();
+      });
+  if (!value) throw std::runtime_error(failure);
+  return std::move(*value);
+}
+
+ProposalResult ResultOf(consensus::Outcome outcome) {
+  switch (outcome) {
+    case consensus::Outcome::kCommitted:
+      return ProposalResult::kCommitted;
+    case consensus::Outcome::kNotLeader:
+      return ProposalResult::kNotLeader;
+    case consensus::Outcome::kStorageFull:
+      return ProposalResult::kFull;
+    case consensus::Outcome::kUnknown:
+      return ProposalResult::kUnknown;
+    default:
+      return ProposalResult::kRefused;
+  }
+}
+
+// ShouldRetry tells whether a membership change may succeed later.
+bool ShouldRetry(consensus::Outcome outcome) {
+  switch (outcome) {
+    case consensus::Outcome::kBusy:
+    case consensus::Outcome::kNotReady:
+    case consensus::Outcome::kChangeInProgress:
+    case consensus::Outcome::kNotCaughtUp:
+      return true;
+    default:
+      return false;
+  }
+}
+
+std::string FailureText(consensus::Outcome outcome) {
+  switch (outcome) {
+    case consensus::Outcome::kNotLeader:
+      return "this instance does not lead any more";
+    case consensus::Outcome::kNotCaughtUp:
+      return "the new data folder did not catch up in time";
+    case consensus::Outcome::kChangeInProgress:
+      return "another membership change is under way";
+    case consensus::Outcome::kStorageFull:
+      return "the disk is full";
+    case consensus::Outcome::kUnknown:
+      return "the outcome is unknown; look at the status";
+    default:
+      return "the membership does not allow it";
+  }
+}
+
+class ConsensusReplication : public Replication {
+ public:
+  ConsensusReplication(net::Loop& event_loop,
+                       const settings::ControlSettings& given,
+                       ReplicationHooks shell);
+
+  void Propose(std::string entry, ProposalDone done) override;
+  void Confirm(RoundDone done) override;
+  void Replace(const InstanceId& instance, ReplaceDone done) override;
+  void OnMessage(const wire::Opened& opened) override;
+
+  bool leads() const override {
+    return this->state.role == consensus::Role::kLeader;
+  }
+  std::optional<InstanceId> leader() const override {
+    if (!this->state.leader) return std::nullopt;
+    return this->state.leader->instance;
+  }
+  Term term() const override { return this->state.hard_state.term; }
+  LogIndex last_index() const override {
+    return consensus::LastIndex(this->state);
+  }
+  std::vector<Voter> voters() const override;
+
+ private:
+  // Replacement is one running Replace.
+  struct Replacement {
+    MemberId lost;
+    MemberId found;
+    TimePoint give_up;
+    ReplaceDone done;
+  };
+  using MembershipDone = std::function<void(consensus::Outcome)>;
+
+  void OpenStorage();
+  void Step(const consensus::Event& event);
+  void Perform(consensus::Actions actions);
+  void Apply(const std::vector<consensus::Entry>& entries);
+  void Answer(const consensus::ProposalAnswer& answer);
+  void ScheduleFlush(Duration delay);
+  void Flush();
+  void TakeSnapshot();
+  void TryBootstrap();
+  void ChangeMembership(const consensus::MembershipChange& change,
+                        MembershipDone done);
+  void Admit(const std::shared_ptr<Replacement>& replacement);
+  void Swap(const std::shared_ptr<Replacement>& replacement);
+
+  net::Loop& loop;
+  settings::ControlSettings settings;
+  ReplicationHooks hooks;
+  std::unique_ptr<storage::Files> files;
+  std::unique_ptr<storage::Storage> disk;
+  consensus::State state;
+  LogIndex applied;
+  std::map<LogIndex, Applied> results;  // of the newest applied entries
+  uint64_t next_tag = 1;
+  std::map<consensus::ProposalTag, ProposalDone> proposals;
+  std::map<consensus::ProposalTag, MembershipDone> changes;
+  std::map<consensus::RoundTag, RoundDone> rounds;
+  bool flush_scheduled = false;
+  bool disk_full = false;
+};
+
+ConsensusReplication::ConsensusReplication(
+    net::Loop& event_loop, const settings::ControlSettings& given,
+    ReplicationHooks shell)
+    : loop(event_loop), settings(given), hooks(std::move(shell)) {
+  this->OpenStorage();
+  this->loop.Every(kTickPeriod, [this] {
+    this->TryBootstrap();
+    this->Step(consensus::Tick{});
+  });
+}
+
+void ConsensusReplication::OpenStorage() {
+  const InstanceId& self = this->settings.identity.instance;
+  this->files = ValueOrThrow(
+      [&] { return storage::OpenFolder(this->settings.data_folder); });
+  this->disk = ValueOrThrow([&] {
+    return storage::Storage::Open(
+        *this->files, {.instance = self,
+                       .new_storage = consensus::StorageId(RandomNumber())});
+  });
+  const storage::RecoveryReport& report = this->disk->report();
+  events::Log({.number = events::Number::kLogRecovered,
+               .bytes = report.log_bytes,
+               .duration = report.took,
+               .count = static_cast<int64_t>(report.entries)});
+  if (report.torn_bytes.value > 0) {
+    events::Log({.number = events::Number::kTornTailDropped,
+                 .bytes = report.torn_bytes,
+                 .detail = report.torn_file});
+  }
+  consensus::Recovered recovered = this->disk->TakeRecovered();
+  if (recovered.snapshot) {
+    this->hooks.restore(*recovered.snapshot->data);
+    this->applied = recovered.snapshot->head.index;
+  }
+  consensus::Options options{.self = this->disk->self(),
+                             .seed = RandomNumber()};
+  for (const settings::ControlMember& member : this->settings.members) {
+    if (member.instance != self) options.peers.push_back(member.instance);
+  }
+  this->state = consensus::Start(std::move(options), std::move(recovered),
+                                 net::Loop::Now());
+}
+
+void ConsensusReplication::Step(const consensus::Event& event) {
+  this->Perform(consensus::Step(this->state, event, net::Loop::Now()));
+}
+
+void ConsensusReplication::Perform(consensus::Actions actions) {
+  if (actions.persist) {
+    this->disk->Enqueue(std::move(*actions.persist));
+    this->ScheduleFlush(Duration(0));
+  }
+  for (const consensus::Message& message : actions.messages) {
+    this->hooks.send(message.to.instance, wire::Encode(message));
+  }
+  if (actions.restore) {
+    this->hooks.restore(*actions.restore->data);
+    this->applied = actions.restore->head.index;
+    events::Log({.number = events::Number::kSnapshotInstalled});
+  }
+  this->Apply(actions.committed);
+  if (actions.leadership) this->hooks.on_leadership();
+  for (const consensus::ProposalAnswer& answer : actions.answers) {
+    this->Answer(answer);
+  }
+  for (const consensus::RoundAnswer& round : actions.rounds) {
+    auto found = this->rounds.extract(round.tag);
+    if (!found.empty()) found.mapped()(round.confirmed, round.started_at);
+  }
+  if (actions.take_snapshot) {
+    this->loop.After(Duration(0), [this] { this->TakeSnapshot(); });
+  }
+}
+
+void ConsensusReplication::Apply(const std::vector<consensus::Entry>& entries) {
+  for (const consensus::Entry& entry : entries) {
+    this->applied = entry.index;
+    if (entry.kind != consensus::EntryKind::kCommand) continue;
+    this->results[entry.index] = this->hooks.apply(entry.payload);
+    if (this->results.size() > kKeptResults) {
+      this->results.erase(this->results.begin());
+    }
+  }
+}
+
+void ConsensusReplication::Answer(const consensus::ProposalAnswer& answer) {
+  auto change = this->changes.extract(answer.tag);
+  if (!change.empty()) return change.mapped()(answer.outcome);
+  auto proposal = this->proposals.extract(answer.tag);
+  if (proposal.empty()) return;
+  auto result = this->results.extract(answer.first_index);
+  const bool has_result =
+      answer.outcome == consensus::Outcome::kCommitted && !result.empty();
+  proposal.mapped()(ResultOf(answer.outcome),
+                    has_result ? result.mapped() : Applied());
+}
+
+void ConsensusReplication::ScheduleFlush(Duration delay) {
+  if (this->flush_scheduled) return;
+  this->flush_scheduled = true;
+  this->loop.After(delay, [this] { this->Flush(); });
+}
+
+void ConsensusReplication::Flush() {
+  this->flush_scheduled = false;
+  std::string failure;
+  const auto flushed = wire::leaf::try_handle_all(
+      [&]() -> wire::leaf::result<std::optional<storage::FlushResult>> {
+        BOOST_LEAF_AUTO(result, this->disk->Flush());
+        return std::optional<storage::FlushResult>(result);
+      },
+      [&](const storage::Error& error) {
+        failure = error.ToText();
+        return std::optional<storage::FlushResult>();
+      },
+      [&] {
+        failure = "the disk failed";
+        return std::optional<storage::FlushResult>();
+      });
+  if (!flushed) return this->hooks.on_failure(failure);
+  if (flushed->full != this->disk_full) {
+    this->disk_full = flushed->full;
+    this->Step(consensus::StorageFull{.full = flushed->full});
+  }
+  if (flushed->full) this->ScheduleFlush(kFullRetry);
+  this->Step(consensus::Persisted{.ticket = flushed->synced});
+}
+
+void ConsensusReplication::TakeSnapshot() {
+  const TimePoint begin = net::Loop::Now();
+  auto data = std::make_shared<const std::string>(this->hooks.snapshot());
+  events::Log({.number = events::Number::kSnapshotWritten,
+               .bytes = Bytes(static_cast<int64_t>(data->size())),
+               .duration = net::Loop::Now() - begin});
+  this->Step(consensus::SnapshotTaken{.index = this->applied,
+                                      .data = std::move(data)});
+}
+
+void ConsensusReplication::TryBootstrap() {
+  if (!this->settings.bootstrap) return;
+  const auto& current = consensus::CurrentMembership(this->state);
+  if (!current.membership.voters.empty()) return;
+  std::set<MemberId> voters;
+  for (const settings::ControlMember& member : this->settings.members) {
+    if (member.instance == this->state.options.self.instance) {
+      voters.insert(this->state.options.self);
+      continue;
+    }
+    const auto found = this->state.announced.find(member.instance);
+    if (found == this->state.announced.end()) return;
+    voters.insert(found->second);
+  }
+  this->Step(consensus::Bootstrap{.voters = std::move(voters)});
+}
+
+void ConsensusReplication::Propose(std::string entry, ProposalDone done) {
+  const consensus::ProposalTag tag(this->next_tag++);
+  this->proposals[tag] = std::move(done);
+  consensus::Propose event{.tag = tag};
+  event.commands.push_back(std::move(entry));
+  this->Step(event);
+}
+
+void ConsensusReplication::Confirm(RoundDone done) {
+  const consensus::RoundTag tag(this->next_tag++);
+  this->rounds[tag] = std::move(done);
+  this->Step(consensus::ConfirmLeadership{.tag = tag});
+}
+
+void ConsensusReplication::OnMessage(const wire::Opened& opened) {
+  auto message = wire::leaf::try_handle_all(
+      [&]() -> wire::leaf::result<std::optional<consensus::Message>> {
+        BOOST_LEAF_AUTO(decoded,
+                        wire::Decode<consensus::Message>(opened.packet));
+        return std::optional<consensus::Message>(std::move(decoded));
+      },
+      [] { return std::optional<consensus::Message>(); });
+  if (!message || message->from.instance != opened.from) return;
+  this->Step(consensus::Received{.message = std::move(*message)});
+}
+
+std::vector<Voter> ConsensusReplication::voters() const {
+  std::vector<Voter> voters;
+  for (const MemberId& member :
+       consensus::CurrentMembership(this->state).membership.voters) {
+    voters.push_back(
+        {.instance = member.instance, .storage = member.storage.value});
+  }
+  return voters;
+}
+
+void ConsensusReplication::ChangeMembership(
+    const consensus::MembershipChange& change, MembershipDone done) {
+  const consensus::ProposalTag tag(this->next_tag++);
+  this->changes[tag] = std::move(done);
+  this->Step(consensus::ProposeMembership{.tag = tag, .change = change});
+}
+
+void ConsensusReplication::Replace(const InstanceId& instance,
+                                   ReplaceDone done) {
+  if (!this->leads()) return done("this instance does not lead");
+  const auto& voting =
+      consensus::CurrentMembership(this->state).membership.voters;
+  const auto lost = std::ranges::find(voting, instance, &MemberId::instance);
+  if (lost == voting.end()) return done("the instance has no vote");
+  const auto found = this->state.announced.find(instance);
+  if (found == this->state.announced.end() || found->second == *lost) {
+    return done(
+        "the instance has not announced a new data folder; start it with an "
+        "empty one");
+  }
+  this->Admit(std::make_shared<Replacement>(
+      Replacement{.lost = *lost,
+                  .found = found->second,
+                  .give_up = net::Loop::Now() + kReplaceLimit,
+                  .done = std::move(done)}));
+}
+
+void ConsensusReplication::Admit(
+    const std::shared_ptr<Replacement>& replacement) {
+  const auto& current = consensus::CurrentMembership(this->state);
+  if (current.membership.learners.contains(replacement->found)) {
+    return this->Swap(replacement);
+  }
+  this->ChangeMembership(
+      {.kind = consensus::ChangeKind::kAddLearner,
+       .member = replacement->found},
+      [this, replacement](consensus::Outcome outcome) {
+        if (outcome == consensus::Outcome::kCommitted) {
+          return this->Swap(replacement);
+        }
+        if (!ShouldRetry(outcome) || net::Loop::Now() > replacement->give_up) {
+          return replacement->done(FailureText(outcome));
+        }
+        this->loop.After(kReplaceRetry,
+                         [this, replacement] { this->Admit(replacement); });
+      });
+}
+
+void ConsensusReplication::Swap(
+    const std::shared_ptr<Replacement>& replacement) {
+  this->ChangeMembership(
+      {.kind = consensus::ChangeKind::kReplace,
+       .member = replacement->lost,
+       .replacement = replacement->found},
+      [this, replacement](consensus::Outcome outcome) {
+        if (outcome == consensus::Outcome::kCommitted) {
+          events::Log({.number = events::Number::kMemberAdded,
+                       .peer = replacement->found.instance});
+          return replacement->done("");
+        }
+        if (!ShouldRetry(outcome) || net::Loop::Now() > replacement->give_up) {
+          return replacement->done(FailureText(outcome));
+        }
+        this->loop.After(kReplaceRetry,
+                         [this, replacement] { this->Swap(replacement); });
+      });
+}
+
+}  // namespace
+
+std::unique_ptr<Replication> MakeConsensusReplication(
+    net::Loop& loop, const settings::ControlSettings& settings,
+    ReplicationHooks hooks) {
+  return std::make_unique<ConsensusReplication>(loop, settings,
+                                                std::move(hooks));
+}
+
+}  // namespace samphirebank::control
--- a/samphirebank/control/internal/replication.h
+++ b/samphirebank/control/internal/replication.h
@@ -28,7 +28,8 @@
   kUnknown,    // may or may not be committed
 };
 
-// ProposalDone receives the result; `applied` has a value for kCommitted.
+// ProposalDone receives the result; `applied` has a value for kCommitted,
+// unless so much was applied since that the result is no longer kept.
 using ProposalDone =
     std::function<void(ProposalResult result, const Applied& applied)>;
 
@@ -74,10 +75,12 @@
   virtual std::vector<Voter> voters() const = 0;
 };
 
-// MakeLocalReplication keeps the log of a single instance in memory.
-std::unique_ptr<Replication> MakeLocalReplication(net::Loop& loop,
-                                                  InstanceId self,
-                                                  ReplicationHooks hooks);
+// MakeConsensusReplication opens the data folder, restores what it holds and
+// takes part in the group. Throws std::runtime_error if the folder cannot be
+// used.
+std::unique_ptr<Replication> MakeConsensusReplication(
+    net::Loop& loop, const settings::ControlSettings& settings,
+    ReplicationHooks hooks);
 
 }  // namespace samphirebank::control
 
--- a/samphirebank/control/operator_replies.cc
+++ b/samphirebank/control/operator_replies.cc
@@ -138,6 +138,7 @@
     case ProposalResult::kFull:
       return Problem(507, "disk full", "nothing was changed");
     case ProposalResult::kUnknown:
+    case ProposalResult::kCommitted:  // committed, but the result is not kept
       return Problem(504, "outcome unknown",
                      "send the change again with the same Change-Id");
     default:
