--- a/samphirebank/queue/internal/records.h
+++ b/samphirebank/queue/internal/records.h
@@ -22,10 +22,10 @@
 void MarkTargetChanged(PoolQueue& pool, const TargetId& id,
                        TargetRecord& target, TimePoint now);
 
-// PredictedCost corrects a request's estimate by what its organisation's
-// requests really cost here.
-int64_t PredictedCost(const PoolQueue& pool, const OrganisationId& id,
-                      int64_t estimate);
+// PredictedCost is what to charge for a request in advance: the mean cost of
+// its organisation's requests here; until that is known, little.
+int64_t PredictedCost(const Options& options, const PoolQueue& pool,
+                      const OrganisationId& id, int64_t estimate);
 
 // LearnCost takes the true cost of a request into account.
 void LearnCost(PoolQueue& pool, const Request& request, int64_t tokens);
