--- a/samphirebank/queue/queue.h
+++ b/samphirebank/queue/queue.h
@@ -46,9 +46,9 @@
   // Least time between two demands to one pool; the longer one holds while
   // requests wait there anyway.
   Duration demand_spacing = std::chrono::milliseconds(5);
-  Duration backlog_spacing = std::chrono::milliseconds(100);
+  Duration backlog_spacing = std::chrono::milliseconds(200);
   // Longest delay of a change in usage, while nothing waits in the pool.
-  Duration usage_interval = std::chrono::milliseconds(1000);
+  Duration usage_interval = std::chrono::milliseconds(1500);
   // A demand is sent at least this often while anything waits or runs.
   Duration keepalive = std::chrono::milliseconds(1000);
   // Changes that were not acknowledged are sent again after this time.
