Add stand-in targets and a load generator

Cause: the demonstration and the tests of failures need targets that speak the engines' protocol, fail on request and record what ran, and a caller that checks that each answer is whole and its own.

--- /dev/null
+++ b/samphirebank/emulator/emulator_test.cc
@@ -0,0 +1,115 @@
+#include "samphirebank/emulator/emulator.h"
+
+#include <doctest/doctest.h>
+
+#include "samphirebank/emulator/internal/answer.h"
+#include "samphirebank/emulator/internal/load.h"
+#include "samphirebank/relay/relay.h"
+
+namespace samphirebank::emulator {
+namespace {
+
+constexpr char kChat[] = "/v1/chat/completions";
+
+std::string ChatBody(const std::string& nonce, bool stream) {
+  return R"({"model": "m", "stream": )" +
+         std::string(stream ? "true" : "false") +
+         R"(, "messages": [{"role": "user", "content": ")" + nonce + "\"}]}";
+}
+
+// Reply is what a caller saw of one call.
+struct Reply {
+  int status = 0;
+  std::vector<net::Header> headers;
+  std::string body;
+  bool whole = false;
+};
+
+// CallOnce calls an emulator with these settings and waits for the end.
+Reply CallOnce(settings::EmulatorSettings settings, bool stream) {
+  settings.services = {{.service = ServiceId("m")}};
+  settings.tokens_per_second = 0;
+  net::Loop loop;
+  Emulator emulator(loop, settings);
+  Reply reply;
+  loop.Call({.to = {.ip = "127.0.0.1", .port = emulator.ports()[0].port},
+             .method = "POST",
+             .path = kChat,
+             .headers = {{std::string(relay::kRequestIdHeader), "r-7"}},
+             .body = ChatBody("q", stream),
+             .first_byte_timeout = std::chrono::milliseconds(300),
+             .idle_timeout = std::chrono::milliseconds(300),
+             .on_head =
+                 [&](int status, const std::vector<net::Header>& headers) {
+                   reply.status = status;
+                   reply.headers = headers;
+                 },
+             .on_data = [&](std::string_view piece) { reply.body += piece; },
+             .on_end =
+                 [&] {
+                   reply.whole = true;
+                   loop.Stop();
+                 },
+             .on_error = [&](const net::CallError&) { loop.Stop(); }});
+  loop.Run();
+  return reply;
+}
+
+TEST_CASE("an answer is whole only for its own prompt") {
+  for (const bool stream : {false, true}) {
+    const auto request = ParseCompletion(kChat, ChatBody("q1", stream));
+    REQUIRE(request);
+    const Answer answer = PlanAnswer(*request, 5);
+    std::string body;
+    for (uint32_t i = 0; i < EventCount(answer); ++i) {
+      body += EventAt(answer, i);
+    }
+    if (!stream) body = AnswerBody(answer);
+    const auto received = ReadAnswer(body, stream);
+    REQUIRE(received);
+    CHECK(IsWhole(*received, "q1"));
+    CHECK(!IsWhole(*received, "q2"));
+    const auto cut = ReadAnswer(body.substr(0, body.size() / 2), stream);
+    CHECK((!cut || !IsWhole(*cut, "q1")));
+  }
+  CHECK(!ParseCompletion(kChat, R"({"model": 3})"));
+}
+
+TEST_CASE("targets answer, streaming and not, and echo the request's id") {
+  for (const bool stream : {false, true}) {
+    const Reply reply = CallOnce({}, stream);
+    REQUIRE(reply.whole);
+    CHECK(reply.status == 200);
+    CHECK(net::FindHeader(reply.headers, relay::kRequestIdHeader) == "r-7");
+    const auto received = ReadAnswer(reply.body, stream);
+    REQUIRE(received);
+    CHECK(IsWhole(*received, "q"));
+  }
+}
+
+TEST_CASE("targets fail as told") {
+  using settings::Fault;
+  const Reply refused = CallOnce({.fault = Fault::kRefuse}, false);
+  CHECK(refused.status == 503);
+  CHECK(net::FindHeader(refused.headers, relay::kNotRunHeader) == "true");
+  const Reply cut = CallOnce({.fault = Fault::kCut, .fault_bytes = 50}, true);
+  CHECK(!cut.whole);
+  CHECK(cut.body.size() <= 50);
+  CHECK(!CallOnce({.fault = Fault::kSilence, .fault_bytes = 50}, true).whole);
+  CHECK(CallOnce({.fault = Fault::kHang}, false).status == 0);
+  const Reply stray = CallOnce({.fault = Fault::kWrongId}, false);
+  CHECK(net::FindHeader(stray.headers, relay::kRequestIdHeader) == "stray");
+}
+
+TEST_CASE("an organisations file reports all its faults") {
+  Findings findings;
+  ParseMixes(R"({"organisations": [{"organisation": 3, "streaming_share": 2},
+                                   "x"]})",
+             &findings);
+  CHECK(findings.all().size() == 5);
+  CHECK(Percentile({3, 1, 2}, 0.5) == 2);
+  CHECK(Percentile({}, 0.5) == 0);
+}
+
+}  // namespace
+}  // namespace samphirebank::emulator
--- a/samphirebank/net/header_fields.cc
+++ b/samphirebank/net/header_fields.cc
@@ -29,9 +29,15 @@
 };
 
 // Fields that libwebsockets has no token for; it wants the colon.
-constexpr std::array<std::string_view, 6> kCustomFields = {
-    "change-id:", "idempotency-key:", "traceparent:",
-    "x-not-run:", "x-request-id:",    "x-samphirebank-outcome:",
+constexpr std::array<std::string_view, 8> kCustomFields = {
+    "change-id:",
+    "idempotency-key:",
+    "samphirebank-not-run:",
+    "samphirebank-request-id:",
+    "samphirebank-resume-after:",
+    "traceparent:",
+    "x-request-id:",
+    "x-samphirebank-outcome:",
 };
 
 constexpr std::array<std::pair<int, std::string_view>, 7> kMethods = {{
--- a/samphirebank/settings/settings.h
+++ b/samphirebank/settings/settings.h
@@ -146,7 +146,7 @@
 // Fault is what a stand-in target does wrong.
 enum class Fault : uint8_t {
   kNone,
-  kRefuse,   // answers 503 with `x-not-run: 1` before running
+  kRefuse,   // answers 503 and states that it did not run
   kCut,      // drops the connection after `fault_bytes` of the answer
   kSilence,  // sends nothing more after `fault_bytes` of the answer
   kHang,     // reads the request and never answers
@@ -171,7 +171,7 @@
   std::vector<net::SocketAddress> routers = {};  // admin addresses
   std::vector<EmulatedService> services = {};
   uint32_t slots = 8;               // requests running at once, per target
-  uint32_t tokens_per_second = 50;  // per running request
+  uint32_t tokens_per_second = 50;  // per running request; 0: at once
   uint64_t seed = 1;
   bool checks_fencing = false;
   bool can_resume = false;
