Ask again for pools that an earlier run of the router held

Cause: a scheduler that restarts under its old epoch would number its grants from 1 again, and entry routers take those for repeats. The router notes the assignments of its first configuration as lost and asks for a new epoch. A draining router with duties waits at most 5 s (before: 8 s) for a successor.

--- a/samphirebank/router/attempts.cc
+++ b/samphirebank/router/attempts.cc
@@ -42,12 +42,11 @@
 
 void OnHead(Router& router, CallerRequest& request, uint32_t attempt,
             int status, const std::vector<net::Header>& headers) {
-  request.answer = relay::BeginAnswer(
-      {.request = AttemptId(request.id, attempt),
-       .target_echoes_id = request.traits.echoes_id,
-       .target_states_not_run = request.traits.states_not_run,
-       .model_stream = request.model_stream},
-      status, headers);
+  request.answer =
+      relay::BeginAnswer({.request = AttemptId(request.id, attempt),
+                          .target_echoes_id = request.traits.echoes_id,
+                          .model_stream = request.model_stream},
+                         status, headers);
   request.answer_headers = relay::ResponseHeaders(headers);
   request.held.clear();
   request.record_body.clear();
--- a/samphirebank/router/configuration.cc
+++ b/samphirebank/router/configuration.cc
@@ -29,6 +29,7 @@
   const contracts::Configuration& configuration =
       router.holder.history.configuration;
   if (configuration.revision == router.installed) return;
+  if (router.installed == Revision()) NoteLostAssignments(router);
   router.installed = configuration.revision;
   router.keys = ingress::IndexKeys(configuration);
   TakeAssignments(router, now);
--- a/samphirebank/router/drain.cc
+++ b/samphirebank/router/drain.cc
@@ -10,7 +10,7 @@
 // fails; requests that still come are served.
 constexpr Duration kBalancerTurns = std::chrono::seconds(2);
 // Schedulers that nobody took over are given up after this long.
-constexpr Duration kHandOverLimit = std::chrono::seconds(8);
+constexpr Duration kHandOverLimit = std::chrono::seconds(5);
 
 bool MayStop(const Router& router, TimePoint now) {
   if (!router.requests.empty()) return false;
--- a/samphirebank/router/internal/pools.h
+++ b/samphirebank/router/internal/pools.h
@@ -10,6 +10,10 @@
 
 namespace samphirebank::router {
 
+// NoteLostAssignments notes the pools that an earlier run of this instance
+// held; call it when the first configuration arrives.
+void NoteLostAssignments(Router& router);
+
 // TakeAssignments starts and retires schedulers and tells the queues about
 // epochs, after a new revision.
 void TakeAssignments(Router& router, TimePoint now);
--- a/samphirebank/router/internal/state.h
+++ b/samphirebank/router/internal/state.h
@@ -103,6 +103,9 @@
   std::map<PoolId, scheduler::State> schedulers;
   std::map<PoolId, Epoch> scheduled_epochs;
   std::map<PoolId, TimePoint> pool_asked;
+  // Assignments that an earlier run of this instance held: what it knew is
+  // lost, so they are asked for again under a new epoch.
+  std::map<PoolId, Epoch> lost_epochs;
   // Pools of other regions whose schedulers exchange counters with those
   // here: when each was last heard and told.
   std::map<PoolId, TimePoint> share_heard;
--- a/samphirebank/router/pools.cc
+++ b/samphirebank/router/pools.cc
@@ -41,12 +41,13 @@
   return found == router.schedulers.end() ? nullptr : &found->second;
 }
 
-void AskForPool(Router& router, const PoolId& pool, TimePoint now) {
+void AskForPool(Router& router, const PoolId& pool, Epoch failed,
+                TimePoint now) {
   TimePoint& asked = router.pool_asked[pool];
   if (asked != TimePoint() && now - asked < kAskPoolInterval) return;
   asked = now;
   SendMessage(router, ControlAddress(router),
-              assignment::PoolRequest{.pool = pool});
+              assignment::PoolRequest{.pool = pool, .failed = failed});
 }
 
 void SendDemands(Router& router, TimePoint now) {
@@ -85,7 +86,7 @@
        targets::TakeDue(router.targets, now)) {
     const auto* const assignment = FindAssignment(router, state.pool);
     if (assignment == nullptr) {
-      AskForPool(router, state.pool, now);
+      AskForPool(router, state.pool, Epoch(), now);
     } else if (IsOwn(router, *assignment)) {
       OnTargetState(router, state, now);
     } else {
@@ -124,6 +125,18 @@
   }
 }
 
+void AskForLostPools(Router& router, TimePoint now) {
+  for (const auto& [pool, epoch] : router.lost_epochs) {
+    AskForPool(router, pool, epoch, now);
+  }
+}
+
+// IsLost says whether an assignment was made to an earlier run.
+bool IsLost(const Router& router, const PoolId& pool, Epoch epoch) {
+  const auto found = router.lost_epochs.find(pool);
+  return found != router.lost_epochs.end() && found->second >= epoch;
+}
+
 outcome::Grant ToGrant(const queue::Dispatch& dispatch) {
   return {.target = dispatch.target,
           .address = dispatch.address,
@@ -152,6 +165,8 @@
     const contracts::SchedulerAssignment& assignment = record.value;
     queue::OnEpoch(router.queues, pool, assignment.epoch, now);
     if (!IsOwn(router, assignment)) continue;
+    if (IsLost(router, pool, assignment.epoch)) continue;
+    router.lost_epochs.erase(pool);
     if (FindScheduler(router, pool) == nullptr) {
       router.schedulers.emplace(
           pool, scheduler::Create({}, pool, assignment.epoch, now));
@@ -162,6 +177,10 @@
                    .epoch = assignment.epoch});
     }
   }
+  std::erase_if(router.lost_epochs, [&](const auto& item) {
+    const auto* const assignment = FindAssignment(router, item.first);
+    return assignment == nullptr || !IsOwn(router, *assignment);
+  });
   for (auto& [pool, state] : router.schedulers) {
     scheduler::OnConfiguration(state, configuration, now);
   }
@@ -202,7 +221,16 @@
   }
 }
 
+void NoteLostAssignments(Router& router) {
+  const auto& pools = router.holder.history.configuration.pools;
+  for (const auto& [pool, record] : pools) {
+    if (!IsOwn(router, record.value)) continue;
+    router.lost_epochs[pool] = record.value.epoch;
+  }
+}
+
 void PumpPools(Router& router, TimePoint now) {
+  AskForLostPools(router, now);
   SendTargetStates(router, now);
   SendDemands(router, now);
   SendGrants(router, now);
