--- a/samphirebank/consensus/leader.cc
+++ b/samphirebank/consensus/leader.cc
@@ -22,7 +22,9 @@
     const Duration stalled = context.now - progress.last_advance;
     if (stalled < state.options.resend_timeout) continue;
     progress.inflight.clear();
-    progress.next = progress.match.Next();
+    // A probe is repeated where it was: nothing is known to match yet, and
+    // starting over would send a whole snapshot to a member that is just slow.
+    if (!progress.probing) progress.next = progress.match.Next();
     progress.probing = true;
   }
 }
--- a/samphirebank/consensus/membership.cc
+++ b/samphirebank/consensus/membership.cc
@@ -12,7 +12,8 @@
   const Progress& progress = found->second;
   const LogIndex reached =
       progress.match + LogIndex(state.options.catch_up_lag);
-  return reached >= LastIndex(state) &&
+  // A newcomer that never answered is still probed.
+  return !progress.probing && reached >= LastIndex(state) &&
          progress.match >= state.snapshot.head.index &&
          context.now - progress.last_reply < state.options.election_timeout;
 }
