--- /dev/null
+++ b/samphirebank/queue/records.cc
@@ -0,0 +1,101 @@
+#include "samphirebank/queue/internal/records.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace samphirebank::queue::internal {
+namespace {
+
+// kMemory is the share of the sums that is left after one more request.
+constexpr double kMemory = 0.98;
+// kKnownRequests is how many requests make an organisation's costs known.
+constexpr double kKnownRequests = 5;
+constexpr size_t kMaxOrganisations = 50'000;
+
+double Seconds(Duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+}  // namespace
+
+OrganisationQueue& OrganisationOf(State& state, PoolQueue& pool,
+                                  const OrganisationId& id) {
+  auto [position, added] = pool.organisations.try_emplace(id);
+  if (added) position->second.generation = ++state.last_generation;
+  return position->second;
+}
+
+void MarkChanged(PoolQueue& pool, const OrganisationId& id,
+                 OrganisationQueue& organisation, bool at_once, TimePoint now) {
+  organisation.changed = true;
+  pool.unsettled.insert(id);
+  if (at_once) pool.news = true;
+  if (!pool.usage_since) pool.usage_since = now;
+}
+
+void MarkTargetChanged(PoolQueue& pool, const TargetId& id,
+                       TargetRecord& target, TimePoint now) {
+  target.changed = true;
+  pool.unsettled_targets.insert(id);
+  if (!pool.usage_since) pool.usage_since = now;
+}
+
+int64_t PredictedCost(const Options& options, const PoolQueue& pool,
+                      const OrganisationId& id, int64_t estimate) {
+  if (!CostKnown(pool, id)) {
+    return std::clamp<int64_t>(estimate, 1, options.cold_estimate);
+  }
+  const CostSums& sums = pool.costs.at(id);
+  const double mean = sums.spent / sums.requests;
+  return std::max<int64_t>(1, static_cast<int64_t>(mean));
+}
+
+bool CostKnown(const PoolQueue& pool, const OrganisationId& id) {
+  const auto known = pool.costs.find(id);
+  return known != pool.costs.end() && known->second.requests >= kKnownRequests;
+}
+
+void LearnCost(PoolQueue& pool, const Request& request, int64_t tokens) {
+  if (pool.costs.size() > kMaxOrganisations) pool.costs.clear();
+  CostSums& sums = pool.costs[request.organisation];
+  sums.spent =
+      sums.spent * kMemory + static_cast<double>(std::max<int64_t>(0, tokens));
+  sums.requests = sums.requests * kMemory + 1;
+}
+
+WaitingRequest TakeWaiting(State& state, PoolQueue& pool,
+                           OrganisationQueue& organisation,
+                           std::list<WaitingRequest>::iterator position) {
+  WaitingRequest taken = std::move(*position);
+  organisation.waiting.erase(position);
+  organisation.waiting_estimate -= taken.request.estimate.value;
+  pool.waiting -= 1;
+  state.waiting.erase(taken.request.id);
+  state.deadlines.erase({taken.request.deadline, taken.request.id});
+  return taken;
+}
+
+void PutWaiting(State& state, PoolQueue& pool, OrganisationQueue& organisation,
+                std::list<WaitingRequest>::iterator position,
+                WaitingRequest request, TimePoint now) {
+  if (organisation.waiting.empty()) organisation.backlogged_since = now;
+  organisation.waiting_estimate += request.request.estimate.value;
+  pool.waiting += 1;
+  state.deadlines.emplace(request.request.deadline, request.request.id);
+  const RequestId id = request.request.id;
+  state.waiting[id] = organisation.waiting.insert(position, std::move(request));
+}
+
+double DispatchRate(const OrganisationQueue& organisation, TimePoint now) {
+  const double age = Seconds(now - organisation.dispatch_rate_at);
+  return organisation.dispatch_rate * std::exp(-age / Seconds(kRateWindow));
+}
+
+void CountDispatch(OrganisationQueue& organisation, TimePoint now) {
+  organisation.dispatch_rate =
+      DispatchRate(organisation, now) + 1 / Seconds(kRateWindow);
+  organisation.dispatch_rate_at = now;
+}
+
+}  // namespace samphirebank::queue::internal
--- a/samphirebank/scheduler/scheduler.h
+++ b/samphirebank/scheduler/scheduler.h
@@ -48,21 +48,23 @@
   Duration rebuild_time = std::chrono::milliseconds(1000);
   // Acknowledgements without grants are held back this long.
   Duration acknowledge_after = std::chrono::milliseconds(200);
+  // Requests that may wait in a target, so that its batch stays full.
+  uint32_t headroom = 1;
   uint32_t unknown_slots = 4;  // first capacity of a target that states none
 };
 
 // Outgoing is a message for one router.
 struct Outgoing {
-  InstanceId router;
-  net::SocketAddress to;
-  sharing::Grant grant;
+  InstanceId router{};
+  net::SocketAddress to{};
+  sharing::Grant grant{};
 };
 
 // OutgoingShare is a message for the scheduler of the same service in another
 // region.
 struct OutgoingShare {
-  PoolId to;
-  sharing::CounterShare share;
+  PoolId to{};
+  sharing::CounterShare share{};
 };
 
 // Summary is the scheduler's state in numbers, for metrics and tests.
--- a/samphirebank/sharing/sharing.h
+++ b/samphirebank/sharing/sharing.h
@@ -25,6 +25,7 @@
 #include "samphirebank/base/base.h"
 #include "samphirebank/contracts/contracts.h"
 #include "samphirebank/net/net.h"
+#include "samphirebank/sharing/internal/compact.h"
 #include "samphirebank/wire/wire.h"
 
 namespace samphirebank::sharing {
@@ -46,19 +47,21 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(newest, before);
+    internal::Number(archive, newest);
+    internal::Rare(archive, before);
   }
 };
 
 // OrganisationDemand is the state of one organisation's requests for one pool
 // at one router.
 struct OrganisationDemand {
-  OrganisationId organisation;
+  OrganisationId organisation{};
   // Numbers the router's record; `charged` counts from 0 in each generation.
   uint32_t generation = 0;
   uint32_t waiting = 0;        // requests
   uint32_t running = 0;        // requests
   uint32_t estimate = 0;       // tokens, mean over the waiting requests
+  bool cost_known = false;     // the estimate rests on ended requests
   uint32_t oldest_age_ms = 0;  // of the request that waits longest
   uint64_t prefix = 0;         // hash of that request's prefix; 0: none
   int64_t charged = 0;         // tokens: seen or, while more, estimated
@@ -66,68 +69,115 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(organisation, generation, waiting, running, estimate, oldest_age_ms,
-            prefix, charged, counter);
+    internal::Text(archive, organisation.value);
+    internal::Number(archive, generation);
+    internal::Number(archive, waiting);
+    internal::Number(archive, running);
+    internal::Number(archive, estimate);
+    archive(cost_known);
+    internal::Number(archive, oldest_age_ms);
+    internal::Rare(archive, prefix);
+    internal::Signed(archive, charged);
+    internal::Rare(archive, counter);
   }
 };
 
 // TargetUse is what one router runs on one target; the totals are cumulative
 // since the router's process started.
 struct TargetUse {
-  TargetId target;
+  TargetId target{};
   uint32_t running = 0;  // requests
   uint32_t failed = 0;   // requests, total
   uint64_t tokens = 0;   // seen from the target, total
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(target, running, failed, tokens);
+    internal::Text(archive, target.value);
+    internal::Number(archive, running);
+    internal::Number(archive, failed);
+    internal::Number(archive, tokens);
   }
 };
 
 // Demand tells a scheduler what changed at one router. A full one tells all.
 struct Demand {
   static constexpr wire::Kind kKind = wire::Kind::kDemand;
-  PoolId pool;
-  Epoch epoch;
+  PoolId pool{};
+  Epoch epoch{};
   uint64_t sequence = 0;
   bool full = false;
-  net::SocketAddress reply_to;  // set in full demands
-  Receipts grants;
-  std::vector<OrganisationDemand> organisations;
-  std::vector<TargetUse> targets;
+  net::SocketAddress reply_to{};  // the router's peer address
+  Receipts grants{};
+  std::vector<OrganisationDemand> organisations{};
+  std::vector<TargetUse> targets{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(pool, epoch, sequence, full, reply_to, grants, organisations,
-            targets);
+    internal::Pool(archive, pool);
+    internal::Number(archive, epoch.value);
+    internal::Number(archive, sequence);
+    archive(full);
+    internal::Address(archive, reply_to);
+    archive(grants);
+    internal::List(archive, organisations);
+    internal::List(archive, targets);
+  }
+};
+
+// TargetTraits is what a target states of its own behaviour; one byte on the
+// wire.
+struct TargetTraits {
+  bool can_resume = false;      // goes on with a cut stream
+  bool echoes_id = false;       // names the request that it answers
+  bool states_not_run = false;  // marks what it refused before running
+  bool checks_fencing = false;  // refuses orders with a stale fencing number
+
+  friend bool operator==(const TargetTraits&, const TargetTraits&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    auto bits = static_cast<uint8_t>(
+        (this->can_resume ? 1U : 0U) | (this->echoes_id ? 2U : 0U) |
+        (this->states_not_run ? 4U : 0U) | (this->checks_fencing ? 8U : 0U));
+    archive(bits);
+    this->can_resume = (bits & 1U) != 0;
+    this->echoes_id = (bits & 2U) != 0;
+    this->states_not_run = (bits & 4U) != 0;
+    this->checks_fencing = (bits & 8U) != 0;
   }
 };
 
 // GrantItem lets a router dispatch `count` requests of one organisation.
 struct GrantItem {
-  OrganisationId organisation;
-  TargetId target;
-  net::SocketAddress address;
+  OrganisationId organisation{};
+  TargetId target{};
+  net::SocketAddress address{};
   uint32_t count = 0;
   bool far = false;    // the target is in another region
   double counter = 0;  // the organisation's, after this grant
+  TargetTraits traits{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(organisation, target, address, count, far, counter);
+    internal::Text(archive, organisation.value);
+    internal::Text(archive, target.value);
+    internal::Address(archive, address);
+    internal::Number(archive, count);
+    archive(far, traits);
+    internal::Rare(archive, counter);
   }
 };
 
 // QueueNotice tells a router how much of an organisation waits elsewhere, so
 // that the contract's queue length holds over the fleet.
 struct QueueNotice {
-  OrganisationId organisation;
+  OrganisationId organisation{};
   uint32_t waiting_elsewhere = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(organisation, waiting_elsewhere);
+    internal::Text(archive, organisation.value);
+    internal::Number(archive, waiting_elsewhere);
   }
 };
 
@@ -136,21 +186,29 @@
 // after that demand was sent.
 struct Grant {
   static constexpr wire::Kind kKind = wire::Kind::kGrant;
-  PoolId pool;
-  Epoch epoch;
+  PoolId pool{};
+  Epoch epoch{};
   uint64_t sequence = 0;
-  Receipts demands;
+  Receipts demands{};
   uint32_t held_ms = 0;
   uint32_t expires_ms = 0;
   bool full_wanted = false;  // the next demand must be full
   bool backlogged = false;   // requests wait: report ends at once
-  std::vector<GrantItem> items;
-  std::vector<QueueNotice> notices;
+  std::vector<GrantItem> items{};
+  std::vector<QueueNotice> notices{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(pool, epoch, sequence, demands, held_ms, expires_ms, full_wanted,
-            backlogged, items, notices);
+    internal::Pool(archive, pool);
+    internal::Number(archive, epoch.value);
+    internal::Number(archive, sequence);
+    archive(demands);
+    internal::Number(archive, held_ms);
+    internal::Number(archive, expires_ms);
+    archive(full_wanted);
+    archive(backlogged);
+    internal::List(archive, items);
+    internal::List(archive, notices);
   }
 };
 
@@ -158,9 +216,9 @@
 // incarnation; within one, a greater sequence is newer.
 struct TargetState {
   static constexpr wire::Kind kKind = wire::Kind::kTargetState;
-  PoolId pool;
-  TargetId target;
-  net::SocketAddress address;
+  PoolId pool{};
+  TargetId target{};
+  net::SocketAddress address{};
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
   contracts::TargetIntent intent = contracts::TargetIntent::kServing;
@@ -168,46 +226,62 @@
   uint32_t running = 0;  // requests in its batch
   uint32_t waiting = 0;  // requests admitted but not in its batch
   uint32_t age_ms = 0;   // of this reading when it was forwarded
+  TargetTraits traits{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(pool, target, address, incarnation, sequence, intent, slots,
-            running, waiting, age_ms);
+    internal::Pool(archive, pool);
+    internal::Text(archive, target.value);
+    internal::Address(archive, address);
+    internal::Number(archive, incarnation);
+    internal::Number(archive, sequence);
+    archive(intent, traits);
+    internal::Number(archive, slots);
+    internal::Number(archive, running);
+    internal::Number(archive, waiting);
+    internal::Number(archive, age_ms);
   }
 };
 
 // OrganisationShare is the service that one region gave an organisation.
 struct OrganisationShare {
-  OrganisationId organisation;
+  OrganisationId organisation{};
   uint32_t generation = 0;  // numbers the sender's record
   int64_t charged = 0;      // tokens since that record began
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(organisation, generation, charged);
+    internal::Text(archive, organisation.value);
+    internal::Number(archive, generation);
+    internal::Signed(archive, charged);
   }
 };
 
 // SlotLoan lets the other region's scheduler use slots of one target.
 struct SlotLoan {
-  TargetId target;
-  net::SocketAddress address;
+  TargetId target{};
+  net::SocketAddress address{};
   uint32_t slots = 0;
+  TargetTraits traits{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(target, address, slots);
+    internal::Text(archive, target.value);
+    internal::Address(archive, address);
+    internal::Number(archive, slots);
+    archive(traits);
   }
 };
 
 // LoanUse is how many requests run, or may start, on a loaned target.
 struct LoanUse {
-  TargetId target;
+  TargetId target{};
   uint32_t running = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(target, running);
+    internal::Text(archive, target.value);
+    internal::Number(archive, running);
   }
 };
 
@@ -215,21 +289,29 @@
 // in another: service to backlogged organisations, and spare slots.
 struct CounterShare {
   static constexpr wire::Kind kKind = wire::Kind::kCounterShare;
-  PoolId pool;  // the sender's
-  Epoch epoch;
+  PoolId pool{};  // the sender's
+  Epoch epoch{};
   uint64_t sequence = 0;
   uint64_t answers = 0;      // newest share received from the other side
   uint32_t held_ms = 0;      // since that share arrived
   uint32_t expires_ms = 0;   // of the loans, as in Grant
   bool wants_slots = false;  // saturated: asks for loans
-  std::vector<OrganisationShare> organisations;
-  std::vector<SlotLoan> loans;
-  std::vector<LoanUse> uses;  // of the receiver's loans
+  std::vector<OrganisationShare> organisations{};
+  std::vector<SlotLoan> loans{};
+  std::vector<LoanUse> uses{};  // of the receiver's loans
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(pool, epoch, sequence, answers, held_ms, expires_ms, wants_slots,
-            organisations, loans, uses);
+    internal::Pool(archive, pool);
+    internal::Number(archive, epoch.value);
+    internal::Number(archive, sequence);
+    internal::Number(archive, answers);
+    internal::Number(archive, held_ms);
+    internal::Number(archive, expires_ms);
+    archive(wants_slots);
+    internal::List(archive, organisations);
+    internal::List(archive, loans);
+    internal::List(archive, uses);
   }
 };
 
