Prove control with real processes and measure configuration

A router whose lease runs low asks every 300 ms, and control stands for election after 750 ms in place of 1 s, so that a new leader's first lease reaches routers before the old one ends.

--- a/samphirebank/control/consensus_replication.cc
+++ b/samphirebank/control/consensus_replication.cc
@@ -1,3 +1,5 @@
+#include "samphirebank/control/internal/consensus_replication.h"
+
 #include <sodium.h>
 
 #include <algorithm>
@@ -13,7 +15,6 @@
 #include <vector>
 
 #include "samphirebank/consensus/consensus.h"
-#include "samphirebank/control/internal/replication.h"
 #include "samphirebank/events/events.h"
 #include "samphirebank/storage/storage.h"
 
@@ -22,12 +23,12 @@
 
 using consensus::MemberId;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 constexpr Duration kTickPeriod = milliseconds(20);
+// Short enough that a new leader's first lease reaches routers before the old
+// leader's last one ends.
+constexpr Duration kElectionTimeout = milliseconds(750);
 constexpr Duration kFullRetry = milliseconds(500);
-constexpr Duration kReplaceRetry = milliseconds(200);
-constexpr Duration kReplaceLimit = seconds(60);
 constexpr size_t kKeptResults = 8192;
 
 uint64_t RandomNumber() {
@@ -74,99 +75,7 @@
   }
 }
 
-// ShouldRetry tells whether a membership change may succeed later.
-bool ShouldRetry(consensus::Outcome outcome) {
-  switch (outcome) {
-    case consensus::Outcome::kBusy:
-    case consensus::Outcome::kNotReady:
-    case consensus::Outcome::kChangeInProgress:
-    case consensus::Outcome::kNotCaughtUp:
-      return true;
-    default:
-      return false;
-  }
-}
-
-std::string FailureText(consensus::Outcome outcome) {
-  switch (outcome) {
-    case consensus::Outcome::kNotLeader:
-      return "this instance does not lead any more";
-    case consensus::Outcome::kNotCaughtUp:
-      return "the new data folder did not catch up in time";
-    case consensus::Outcome::kChangeInProgress:
-      return "another membership change is under way";
-    case consensus::Outcome::kStorageFull:
-      return "the disk is full";
-    case consensus::Outcome::kUnknown:
-      return "the outcome is unknown; look at the status";
-    default:
-      return "the membership does not allow it";
-  }
-}
-
-class ConsensusReplication : public Replication {
- public:
-  ConsensusReplication(net::Loop& event_loop,
-                       const settings::ControlSettings& given,
-                       ReplicationHooks shell);
-
-  void Propose(std::string entry, ProposalDone done) override;
-  void Confirm(RoundDone done) override;
-  void Replace(const InstanceId& instance, ReplaceDone done) override;
-  void OnMessage(const wire::Opened& opened) override;
-
-  bool leads() const override {
-    return this->state.role == consensus::Role::kLeader;
-  }
-  std::optional<InstanceId> leader() const override {
-    if (!this->state.leader) return std::nullopt;
-    return this->state.leader->instance;
-  }
-  Term term() const override { return this->state.hard_state.term; }
-  LogIndex last_index() const override {
-    return consensus::LastIndex(this->state);
-  }
-  std::vector<Voter> voters() const override;
-
- private:
-  // Replacement is one running Replace.
-  struct Replacement {
-    MemberId lost;
-    MemberId found;
-    TimePoint give_up;
-    ReplaceDone done;
-  };
-  using MembershipDone = std::function<void(consensus::Outcome)>;
-
-  void OpenStorage();
-  void Step(const consensus::Event& event);
-  void Perform(consensus::Actions actions);
-  void Apply(const std::vector<consensus::Entry>& entries);
-  void Answer(const consensus::ProposalAnswer& answer);
-  void ScheduleFlush(Duration delay);
-  void Flush();
-  void TakeSnapshot();
-  void TryBootstrap();
-  void ChangeMembership(const consensus::MembershipChange& change,
-                        MembershipDone done);
-  void Admit(const std::shared_ptr<Replacement>& replacement);
-  void Swap(const std::shared_ptr<Replacement>& replacement);
-
-  net::Loop& loop;
-  settings::ControlSettings settings;
-  ReplicationHooks hooks;
-  std::unique_ptr<storage::Files> files;
-  std::unique_ptr<storage::Storage> disk;
-  consensus::State state;
-  LogIndex applied;
-  std::map<LogIndex, Applied> results;  // of the newest applied entries
-  uint64_t next_tag = 1;
-  std::map<consensus::ProposalTag, ProposalDone> proposals;
-  std::map<consensus::ProposalTag, MembershipDone> changes;
-  std::map<consensus::RoundTag, RoundDone> rounds;
-  bool flush_scheduled = false;
-  bool disk_full = false;
-};
+}  // namespace
 
 ConsensusReplication::ConsensusReplication(
     net::Loop& event_loop, const settings::ControlSettings& given,
@@ -190,7 +99,6 @@
   });
   const storage::RecoveryReport& report = this->disk->report();
   events::Log({.number = events::Number::kLogRecovered,
-               .bytes = report.log_bytes,
                .duration = report.took,
                .count = static_cast<int64_t>(report.entries)});
   if (report.torn_bytes.value > 0) {
@@ -204,7 +112,8 @@
     this->applied = recovered.snapshot->head.index;
   }
   consensus::Options options{.self = this->disk->self(),
-                             .seed = RandomNumber()};
+                             .seed = RandomNumber(),
+                             .election_timeout = kElectionTimeout};
   for (const settings::ControlMember& member : this->settings.members) {
     if (member.instance != self) options.peers.push_back(member.instance);
   }
@@ -360,76 +269,6 @@
   return voters;
 }
 
-void ConsensusReplication::ChangeMembership(
-    const consensus::MembershipChange& change, MembershipDone done) {
-  const consensus::ProposalTag tag(this->next_tag++);
-  this->changes[tag] = std::move(done);
-  this->Step(consensus::ProposeMembership{.tag = tag, .change = change});
-}
-
-void ConsensusReplication::Replace(const InstanceId& instance,
-                                   ReplaceDone done) {
-  if (!this->leads()) return done("this instance does not lead");
-  const auto& voting =
-      consensus::CurrentMembership(this->state).membership.voters;
-  const auto lost = std::ranges::find(voting, instance, &MemberId::instance);
-  if (lost == voting.end()) return done("the instance has no vote");
-  const auto found = this->state.announced.find(instance);
-  if (found == this->state.announced.end() || found->second == *lost) {
-    return done(
-        "the instance has not announced a new data folder; start it with an "
-        "empty one");
-  }
-  this->Admit(std::make_shared<Replacement>(
-      Replacement{.lost = *lost,
-                  .found = found->second,
-                  .give_up = net::Loop::Now() + kReplaceLimit,
-                  .done = std::move(done)}));
-}
-
-void ConsensusReplication::Admit(
-    const std::shared_ptr<Replacement>& replacement) {
-  const auto& current = consensus::CurrentMembership(this->state);
-  if (current.membership.learners.contains(replacement->found)) {
-    return this->Swap(replacement);
-  }
-  this->ChangeMembership(
-      {.kind = consensus::ChangeKind::kAddLearner,
-       .member = replacement->found},
-      [this, replacement](consensus::Outcome outcome) {
-        if (outcome == consensus::Outcome::kCommitted) {
-          return this->Swap(replacement);
-        }
-        if (!ShouldRetry(outcome) || net::Loop::Now() > replacement->give_up) {
-          return replacement->done(FailureText(outcome));
-        }
-        this->loop.After(kReplaceRetry,
-                         [this, replacement] { this->Admit(replacement); });
-      });
-}
-
-void ConsensusReplication::Swap(
-    const std::shared_ptr<Replacement>& replacement) {
-  this->ChangeMembership(
-      {.kind = consensus::ChangeKind::kReplace,
-       .member = replacement->lost,
-       .replacement = replacement->found},
-      [this, replacement](consensus::Outcome outcome) {
-        if (outcome == consensus::Outcome::kCommitted) {
-          events::Log({.number = events::Number::kMemberAdded,
-                       .peer = replacement->found.instance});
-          return replacement->done("");
-        }
-        if (!ShouldRetry(outcome) || net::Loop::Now() > replacement->give_up) {
-          return replacement->done(FailureText(outcome));
-        }
-        this->loop.After(kReplaceRetry,
-                         [this, replacement] { this->Swap(replacement); });
-      });
-}
-
-}  // namespace
-
 std::unique_ptr<Replication> MakeConsensusReplication(
     net::Loop& loop, const settings::ControlSettings& settings,
     ReplicationHooks hooks) {
--- a/samphirebank/control/internal/server.h
+++ b/samphirebank/control/internal/server.h
@@ -22,6 +22,13 @@
 
 namespace samphirebank::control {
 
+// PeerTraffic counts messages between instances since the start.
+struct PeerTraffic {
+  uint64_t packets_sent = 0;
+  uint64_t bytes_sent = 0;
+  uint64_t bytes_received = 0;
+};
+
 // Server is one control instance. It belongs to the loop's thread.
 class Server {
  public:
@@ -62,7 +69,7 @@
   void PollLeader();
   void ConfirmLease();
   void AssignPools();
-  void WatchOwners();
+  void WatchInstances();
 
   // Operators.
   void OnRequest(const std::shared_ptr<net::ServerStream>& stream);
@@ -95,6 +102,7 @@
   TimePoint last_claim;  // this leader's newest claims entry
   uint64_t own_changes = 0;
   bool has_failed = false;
+  PeerTraffic traffic;
 };
 
 }  // namespace samphirebank::control
--- a/samphirebank/control/process_test.cc
+++ b/samphirebank/control/process_test.cc
@@ -157,11 +157,13 @@
         "--data-folder=" + this->DataFolder(instance),
         "--log-file=" + this->folder + "/" + instance.name + ".log"};
     if (instance.name == "c1") words.emplace_back("--bootstrap");
+    words.reserve(words.size() + this->instances.size());
     for (const Instance& member : this->instances) {
       words.push_back("--member=" + member.name +
                       "=127.0.0.1:" + std::to_string(member.peer_port));
     }
     std::vector<char*> arguments;
+    arguments.reserve(words.size() + 1);
     for (std::string& word : words) arguments.push_back(word.data());
     arguments.push_back(nullptr);
     std::string key = "SAMPHIREBANK_FLEET_KEY=" + std::string(64, 'a');
@@ -185,7 +187,7 @@
     while (std::chrono::steady_clock::now() < give_up) {
       for (const Instance& instance : this->instances) {
         if (instance.pid == 0) continue;
-        const Reply reply = End(Begin(instance.operator_port, request));
+        Reply reply = End(Begin(instance.operator_port, request));
         const bool known = reply.status == 200 || reply.status == 409 ||
                            reply.status == 422 || reply.status == 404;
         if (known) return reply;
@@ -234,6 +236,7 @@
   Group group;
   const Instance& leader = group.Leader();
   std::vector<int> connections;
+  connections.reserve(5);
   for (int i = 0; i < 5; ++i) {
     connections.push_back(Begin(leader.operator_port, Put(i, "org")));
   }
@@ -328,6 +331,7 @@
   std::vector<int> unanswered;
   for (int i = 0; i < kChanges; i += kAtOnce) {
     std::vector<int> connections;
+    connections.reserve(kAtOnce);
     for (int j = i; j < i + kAtOnce; ++j) {
       connections.push_back(Begin(port, Put(j, "org" + std::to_string(j))));
     }
--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -25,7 +25,7 @@
 constexpr Duration kConfirmPeriod = milliseconds(250);
 constexpr Duration kFollowerPollInterval = milliseconds(250);
 constexpr Duration kAssignPeriod = milliseconds(250);
-constexpr Duration kOwnerPeriod = seconds(1);
+constexpr Duration kWatchPeriod = seconds(1);
 constexpr Duration kOwnerSilence = seconds(10);
 constexpr Duration kClaimsTickEvery = seconds(60);
 constexpr size_t kReportLimit = 64;
@@ -85,8 +85,8 @@
                 .file = given.log_file});
   events::Log({.number = events::Number::kProcessStarted});
   this->OpenPorts();
-  this->replication = MakeConsensusReplication(this->loop, this->settings,
-                                               this->MakeHooks());
+  this->replication =
+      MakeConsensusReplication(this->loop, this->settings, this->MakeHooks());
   this->StartTimers();
 }
 
@@ -130,7 +130,7 @@
   this->loop.Every(kTimerPeriod, [this] { this->PollLeader(); });
   this->loop.Every(kConfirmPeriod, [this] { this->ConfirmLease(); });
   this->loop.Every(kAssignPeriod, [this] { this->AssignPools(); });
-  this->loop.Every(kOwnerPeriod, [this] { this->WatchOwners(); });
+  this->loop.Every(kWatchPeriod, [this] { this->WatchInstances(); });
 }
 
 Applied Server::ApplyOne(const std::string& entry) {
@@ -182,6 +182,7 @@
 
 void Server::OnPacket(const net::SocketAddress& /*from*/,
                       std::string_view message) {
+  this->traffic.bytes_received += message.size();
   wire::leaf::try_handle_all(
       [&]() -> wire::leaf::result<void> {
         BOOST_LEAF_AUTO(opened, this->opener.Open(message));
@@ -280,7 +281,10 @@
 }
 
 void Server::SendTo(const net::SocketAddress& to, const wire::Packet& packet) {
-  this->peers->Send(to, this->sealer.Seal(packet));
+  const std::string bytes = this->sealer.Seal(packet);
+  this->traffic.packets_sent += 1;
+  this->traffic.bytes_sent += bytes.size();
+  this->peers->Send(to, bytes);
 }
 
 void Server::SendToMember(const InstanceId& instance,
@@ -358,9 +362,10 @@
   }
 }
 
-void Server::WatchOwners() {
-  if (!this->replication->leads()) return;
+void Server::WatchInstances() {
   const TimePoint now = net::Loop::Now();
+  lease::Forget(this->registry, now);
+  if (!this->replication->leads()) return;
   if (now - this->leads_since < kOwnerSilence) return;
   for (const claims::Owner& owner : claims::RunningOwners(this->state.claims)) {
     const auto found = this->registry.heard.find(owner.instance);
--- a/samphirebank/control/server_operators.cc
+++ b/samphirebank/control/server_operators.cc
@@ -48,9 +48,16 @@
 }
 
 net::Response Server::Metrics() const {
-  const auto gauge = [](const std::string& name, double value) {
-    return "# TYPE samphirebank_" + name + " gauge\nsamphirebank_" + name +
-           " " + std::to_string(value) + "\n";
+  const auto line = [](const std::string& name, const std::string& kind,
+                       const std::string& value) {
+    return "# TYPE samphirebank_" + name + " " + kind + "\nsamphirebank_" +
+           name + " " + value + "\n";
+  };
+  const auto gauge = [&](const std::string& name, double value) {
+    return line(name, "gauge", std::to_string(value));
+  };
+  const auto counter = [&](const std::string& name, uint64_t value) {
+    return line(name, "counter", std::to_string(value));
   };
   const TimePoint now = net::Loop::Now();
   const double left =
@@ -67,7 +74,10 @@
       gauge("config_lease_left_seconds", left) +
       gauge("contracts", number(configuration.contracts.size())) +
       gauge("claims", number(this->state.claims.entries.size())) +
-      gauge("instances_heard", number(this->registry.heard.size()));
+      gauge("instances_heard", number(this->registry.heard.size())) +
+      counter("peer_packets_sent_total", this->traffic.packets_sent) +
+      counter("peer_bytes_sent_total", this->traffic.bytes_sent) +
+      counter("peer_bytes_received_total", this->traffic.bytes_received);
   return {.content_type = "text/plain; version=0.0.4", .body = std::move(text)};
 }
 
--- a/samphirebank/lease/holder.cc
+++ b/samphirebank/lease/holder.cc
@@ -130,6 +130,15 @@
   return holder.history.configuration.revision != before;
 }
 
+// PollInterval is short while the lease runs low, so that a new leader's first
+// proof is picked up before the lease ends.
+Duration PollInterval(const Holder& holder, TimePoint now) {
+  const HolderOptions& options = holder.options;
+  const bool low = LeaseLeft(holder, now) < options.terms.length / 2;
+  return low ? std::min(options.answer_timeout, options.poll_interval)
+             : options.poll_interval;
+}
+
 // IsBehind tells whether the answerer has more than this holder took in.
 bool IsBehind(const Holder& holder, const ConfigUpdate& update) {
   return holder.copy || holder.history.configuration.revision < update.revision;
@@ -183,7 +192,7 @@
   if (IsBehind(holder, update)) {
     holder.next_poll = now + holder.options.copy_gap;
   } else if (update.lease_age_ns) {
-    holder.next_poll = asked.sent_at + holder.options.poll_interval;
+    holder.next_poll = asked.sent_at + PollInterval(holder, now);
   }
   return changed;
 }
--- a/samphirebank/lease/holder_test.cc
+++ b/samphirebank/lease/holder_test.cc
@@ -110,6 +110,18 @@
   CHECK(OnTimer(holder, At(milliseconds(1'300))).at(0).to == kFar);
 }
 
+TEST_CASE("a lease that runs low is renewed sooner") {
+  Holder holder = MakeHolder(Options());
+  const contracts::History history;
+  Exchange(holder, history, {At(seconds(10)), Revision(0)}, At(seconds(10)));
+  CHECK(OnTimer(holder, At(milliseconds(10'900))).empty());
+  Exchange(holder, history, {At(seconds(9)), Revision(0)}, At(seconds(11)));
+  CHECK(OnTimer(holder, At(milliseconds(11'900))).empty());
+  Exchange(holder, history, {At(seconds(10)), Revision(0)}, At(seconds(12)));
+  CHECK(OnTimer(holder, At(milliseconds(12'200))).empty());
+  CHECK(OnTimer(holder, At(milliseconds(12'300))).size() == 1);
+}
+
 TEST_CASE("a snapshot comes in pieces while changes go on") {
   contracts::Machine machine =
       MachineWith(static_cast<int>(contracts::kKeptChanges) + 1000);
@@ -155,6 +167,10 @@
   REQUIRE(peers.size() == 2);
   CHECK(peers[0].port == 3);
   CHECK(peers[1].port == 0);
+  Forget(registry, now + kForgetAfter);
+  CHECK(registry.heard.size() == 7);
+  Forget(registry, now + kForgetAfter + Duration(1));
+  CHECK(registry.heard.empty());
 }
 
 }  // namespace
--- a/samphirebank/lease/lease.h
+++ b/samphirebank/lease/lease.h
@@ -262,8 +262,11 @@
 // Hear notes the asker and those whom it heard.
 void Hear(Registry& registry, const ConfigPoll& poll, TimePoint now);
 
+// Forget drops those unheard for kForgetAfter.
+void Forget(Registry& registry, TimePoint now);
+
 // Report returns up to `limit` heard instances in turn, so that repeated calls
-// cover all; those unheard for kForgetAfter are dropped.
+// cover all.
 std::vector<HeardInstance> Report(Registry& registry, size_t limit,
                                   TimePoint now);
 
--- a/samphirebank/lease/registry.cc
+++ b/samphirebank/lease/registry.cc
@@ -35,11 +35,14 @@
   }
 }
 
-std::vector<HeardInstance> Report(Registry& registry, size_t limit,
-                                  TimePoint now) {
+void Forget(Registry& registry, TimePoint now) {
   std::erase_if(registry.heard, [&](const auto& entry) {
     return now - entry.second.at > kForgetAfter;
   });
+}
+
+std::vector<HeardInstance> Report(Registry& registry, size_t limit,
+                                  TimePoint now) {
   std::vector<HeardInstance> report;
   const size_t count = std::min(limit, registry.heard.size());
   auto next = registry.heard.upper_bound(registry.reported);
--- a/samphirebank/measure/scale_main.cc
+++ b/samphirebank/measure/scale_main.cc
@@ -99,15 +99,14 @@
 void Enqueue(Pool& pool, const Size& size) {
   for (uint32_t i = 0; i < size.requests; ++i) {
     const uint32_t organisation = pool.random() % size.organisations;
-    queue::Enqueue(
-        pool.routers[pool.random() % size.routers],
-        {.id = RequestId(std::to_string(++pool.last_request)),
-         .pool = kPool,
-         .organisation =
-             OrganisationId("organisation-" + std::to_string(organisation)),
-         .estimate = Tokens(300),
-         .deadline = pool.now + seconds(600)},
-        {}, pool.now);
+    queue::Enqueue(pool.routers[pool.random() % size.routers],
+                   {.id = RequestId(std::to_string(++pool.last_request)),
+                    .pool = kPool,
+                    .organisation = OrganisationId(
+                        "organisation-" + std::to_string(organisation)),
+                    .estimate = Tokens(300),
+                    .deadline = pool.now + seconds(600)},
+                   {}, pool.now);
   }
 }
 
@@ -120,8 +119,8 @@
     }
   });
   for (const auto& demand : demands) {
-    cost.demand_bytes += static_cast<double>(
-        wire::Encode(demand).payload.size());
+    cost.demand_bytes +=
+        static_cast<double>(wire::Encode(demand).payload.size());
   }
   std::vector<scheduler::Outgoing> grants;
   Timed(cost.scheduler_us, [&] {
@@ -151,9 +150,8 @@
   Cost cost;
   Pool pool;
   const double empty = HeapBytes();
-  pool.scheduler =
-      scheduler::Create({.rebuild_time = Duration::zero()}, kPool, Epoch(1),
-                        pool.now);
+  pool.scheduler = scheduler::Create({.rebuild_time = Duration::zero()}, kPool,
+                                     Epoch(1), pool.now);
   scheduler::OnConfiguration(pool.scheduler, Contracts(size.organisations),
                              pool.now);
   const double started = HeapBytes();
@@ -174,7 +172,8 @@
   }
   cost.scheduler_bytes += started - empty;
   cost.queue_bytes = filled - started;
-  const double granted = static_cast<double>(std::max<uint64_t>(1, cost.granted));
+  const double granted =
+      static_cast<double>(std::max<uint64_t>(1, cost.granted));
   cost.scheduler_us *= 1e6 / granted;
   cost.queue_us *= 1e6 / granted;
   cost.demand_bytes /= granted;
@@ -203,9 +202,10 @@
   Print("routers", {.routers = 340});
   Print("targets", {.targets = 200});
   Print("targets", {.targets = 760});
-  Print("all",
-        {.requests = 100'000, .organisations = 26'000, .routers = 340,
-         .targets = 760});
+  Print("all", {.requests = 100'000,
+                .organisations = 26'000,
+                .routers = 340,
+                .targets = 760});
   std::printf(
       "us: processor time a granted request, of the scheduler and of its "
       "router; KiB: heap of the scheduler and of all queues; B: payload of "
