--- /dev/null
+++ b/samphirebank/scheduler/share_test.cc
@@ -0,0 +1,191 @@
+// Two regions: counters, loans of slots, hysteresis; and what a target that
+// left can still receive.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "samphirebank/queue/queue.h"
+#include "samphirebank/scheduler/scheduler.h"
+
+namespace samphirebank::scheduler {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(1000)};
+const OrganisationId kOrganisation("a");
+
+// Region is one region's scheduler with one router and one target.
+struct Region {
+  PoolId pool{};
+  State state{};
+  queue::State router{};
+  TargetId target{};
+  uint32_t slots = 0;
+  uint64_t reports = 0;
+  uint64_t last_request = 0;
+  bool link = true;  // between the router and the scheduler
+  std::vector<queue::Dispatch> dispatches{};
+
+  Region(const std::string& name, uint32_t target_slots) : slots(target_slots) {
+    this->pool = {RegionId(name), ServiceId("assistant")};
+    this->target = TargetId("target-" + name);
+    this->state = Create({.rebuild_time = Duration::zero(), .headroom = 0},
+                         this->pool, Epoch(1), kStart);
+    contracts::Configuration configuration;
+    configuration.revision = Revision(1);
+    contracts::Contract contract;
+    contract.organisation = kOrganisation;
+    configuration.contracts[kOrganisation] = {contract, Revision(1)};
+    OnConfiguration(this->state, configuration, kStart);
+    queue::OnEpoch(this->router, this->pool, Epoch(1), kStart);
+  }
+
+  void Enqueue(uint32_t count, TimePoint now) {
+    for (uint32_t i = 0; i < count; ++i) {
+      queue::Enqueue(this->router,
+                     {.id = RequestId(std::to_string(++this->last_request)),
+                      .pool = this->pool,
+                      .organisation = kOrganisation,
+                      .estimate = Tokens(100),
+                      .deadline = now + seconds(600)},
+                     {}, now);
+    }
+  }
+
+  void Report(TimePoint now, contracts::TargetIntent intent =
+                                 contracts::TargetIntent::kServing) {
+    OnTargetState(this->state,
+                  {.pool = this->pool,
+                   .target = this->target,
+                   .incarnation = 1,
+                   .sequence = ++this->reports,
+                   .intent = intent,
+                   .slots = this->slots},
+                  now);
+  }
+
+  // Step exchanges a demand and grants, unless the link is cut.
+  void Step(TimePoint now) {
+    if (!this->link) return;
+    OnDemand(this->state, InstanceId("r"), BootId(1),
+             queue::BuildDemand(this->router, this->pool, now), now);
+    for (const Outgoing& out : Tick(this->state, now)) {
+      for (auto& dispatch : queue::ApplyGrant(this->router, out.grant, now)) {
+        this->dispatches.push_back(std::move(dispatch));
+      }
+    }
+  }
+
+  uint32_t FarDispatches() const {
+    uint32_t count = 0;
+    for (const auto& dispatch : this->dispatches) count += dispatch.far ? 1 : 0;
+    return count;
+  }
+};
+
+void Exchange(Region& from, Region& to, TimePoint now) {
+  const OutgoingShare out = BuildCounterShare(from.state, to.pool, now);
+  OnCounterShare(to.state, out.share, now);
+}
+
+// Run steps both regions for `length`.
+void Run(Region& one, Region& two, TimePoint& now, Duration length) {
+  const TimePoint end = now + length;
+  for (; now < end; now += milliseconds(200)) {
+    for (Region* region : {&one, &two}) {
+      region->Report(now);
+      region->Step(now);
+    }
+    Exchange(one, two, now);
+    Exchange(two, one, now);
+  }
+}
+
+TEST_CASE("work crosses only when its own region stays saturated") {
+  Region busy("aqaba", 2);
+  Region idle("bilbao", 10);
+  TimePoint now = kStart;
+  busy.Enqueue(2, now);
+  Run(busy, idle, now, seconds(5));
+  CHECK(busy.dispatches.size() == 2);
+  CHECK(busy.FarDispatches() == 0);
+  busy.Enqueue(20, now);
+  Run(busy, idle, now, seconds(1));
+  CHECK(busy.FarDispatches() == 0);  // not at once
+  Run(busy, idle, now, seconds(4));
+  CHECK(busy.FarDispatches() >= 5);
+  CHECK(busy.FarDispatches() <= 10);
+  CHECK(busy.dispatches.back().target == idle.target);
+}
+
+TEST_CASE("a region lends nothing while its own work waits") {
+  Region busy("aqaba", 1);
+  Region also_busy("bilbao", 3);
+  TimePoint now = kStart;
+  busy.Enqueue(20, now);
+  also_busy.Enqueue(20, now);
+  Run(busy, also_busy, now, seconds(8));
+  CHECK(busy.FarDispatches() == 0);
+  CHECK(also_busy.FarDispatches() == 0);
+}
+
+TEST_CASE("service in the other region counts") {
+  Region one("aqaba", 1);
+  Region two("bilbao", 1);
+  TimePoint now = kStart;
+  one.Enqueue(20, now);
+  two.Enqueue(20, now);
+  Run(one, two, now, seconds(1));
+  const double before = *Counter(one.state, kOrganisation);
+  const auto& running = two.dispatches.at(0);
+  queue::OnProgress(two.router, running.id, Tokens(5000), now);
+  Run(one, two, now, seconds(1));
+  CHECK(*Counter(one.state, kOrganisation) >= before + 4800);
+}
+
+TEST_CASE("a target that left gets nothing after 2 s, router cut off or not") {
+  for (const bool cut : {false, true}) {
+    for (const bool announced : {false, true}) {
+      CAPTURE(cut);
+      CAPTURE(announced);
+      Region region("aqaba", 100);
+      TimePoint now = kStart;
+      region.Report(now);
+      region.Enqueue(1, now);
+      region.Step(now);
+      REQUIRE(region.dispatches.size() == 1);
+      const TimePoint left = now;
+      if (announced) {
+        region.Report(now, contracts::TargetIntent::kLeaving);
+      }
+      if (cut) region.link = false;
+      for (; now < left + seconds(4); now += milliseconds(100)) {
+        region.Enqueue(1, now);
+        region.Step(now);
+      }
+      for (const auto& dispatch : region.dispatches) {
+        CHECK(dispatch.expires <= left + seconds(2));
+      }
+    }
+  }
+}
+
+TEST_CASE("a grant held back on its way is worth no more than its lifetime") {
+  Region region("aqaba", 100);
+  region.Report(kStart);
+  region.Enqueue(1, kStart);
+  OnDemand(region.state, InstanceId("r"), BootId(1),
+           queue::BuildDemand(region.router, region.pool, kStart), kStart);
+  const auto out = Tick(region.state, kStart);
+  REQUIRE(out.size() == 1);
+  REQUIRE(out[0].grant.items.size() == 1);
+  const TimePoint late = kStart + milliseconds(801);
+  CHECK(queue::ApplyGrant(region.router, out[0].grant, late).empty());
+}
+
+}  // namespace
+}  // namespace samphirebank::scheduler
