--- a/samphirebank/scheduler/scheduler_test.cc
+++ b/samphirebank/scheduler/scheduler_test.cc
@@ -26,7 +26,7 @@
 // Bench is one scheduler with the clock of its test.
 struct Bench {
   TimePoint now = kStart;
-  State state = Create({}, kPool, Epoch(1), kStart);
+  State state = Create({.headroom = 0}, kPool, Epoch(1), kStart);
   contracts::Configuration configuration;
   std::map<std::string, uint64_t> sequences;
 
@@ -128,6 +128,7 @@
   auto running = Wants("a", 50);
   running.running = 100;
   running.charged = 10'000;
+  running.cost_known = true;
   bench.Ask("r1", {running, Wants("b", 50)},
             {{.target = TargetId("t1"), .running = 100}}, 1);
   CHECK(bench.Granted() == Counts{{"a", 5}, {"b", 5}});
--- a/samphirebank/scheduler/targets.cc
+++ b/samphirebank/scheduler/targets.cc
@@ -97,7 +97,8 @@
   target.observed_at = now;
   target.busy_at = now;
   target.capacity = capacity::Create(
-      {.first_limit = static_cast<double>(scheduler.options.unknown_slots)},
+      {.first_limit = static_cast<double>(scheduler.options.unknown_slots),
+       .headroom = scheduler.options.headroom},
       now);
   const auto declared = scheduler.declared.find(id);
   if (declared != scheduler.declared.end()) target.declared = declared->second;
@@ -147,6 +148,7 @@
 
 void CheckTargets(Scheduler& scheduler, TimePoint now) {
   const double usual = UsualSpeed(scheduler);
+  scheduler.capacity = 0;
   for (auto position = scheduler.targets.begin();
        position != scheduler.targets.end();) {
     Target& target = position->second;
@@ -157,6 +159,7 @@
       target.suspected = true;
     }
     PlaceTarget(scheduler, target, now);
+    if (Serving(scheduler, target, now)) scheduler.capacity += Limit(target);
     const bool idle = InFlight(target) == 0 && target.loan_used == 0;
     const bool gone = silence >= scheduler.options.drop_after && idle;
     if (!gone) {
@@ -181,7 +184,10 @@
   const bool restarted = report.incarnation > target.incarnation;
   if (!restarted && report.sequence <= target.sequence && target.known) return;
   const TimePoint taken_at = now - std::chrono::milliseconds(report.age_ms);
-  if (target.suspected || (restarted && target.known)) {
+  const bool returns =
+      target.suspected &&
+      taken_at - target.heard_at >= 2 * scheduler.options.suspect_after;
+  if (returns || (restarted && target.known)) {
     internal::CountFlap(target, now);
   }
   if (!target.known) scheduler.ring_stale = true;
@@ -189,6 +195,7 @@
   target.known = true;
   target.heard_at = std::max(target.heard_at, taken_at);
   target.address = report.address;
+  target.traits = report.traits;
   target.incarnation = report.incarnation;
   target.sequence = report.sequence;
   target.intent = report.intent;
--- a/samphirebank/sharing/sharing.h
+++ b/samphirebank/sharing/sharing.h
@@ -25,6 +25,7 @@
 #include "samphirebank/base/base.h"
 #include "samphirebank/contracts/contracts.h"
 #include "samphirebank/net/net.h"
+#include "samphirebank/sharing/internal/compact.h"
 #include "samphirebank/wire/wire.h"
 
 namespace samphirebank::sharing {
@@ -46,7 +47,8 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(newest, before);
+    internal::Number(archive, newest);
+    internal::Rare(archive, before);
   }
 };
 
@@ -59,6 +61,7 @@
   uint32_t waiting = 0;        // requests
   uint32_t running = 0;        // requests
   uint32_t estimate = 0;       // tokens, mean over the waiting requests
+  bool cost_known = false;     // the estimate rests on ended requests
   uint32_t oldest_age_ms = 0;  // of the request that waits longest
   uint64_t prefix = 0;         // hash of that request's prefix; 0: none
   int64_t charged = 0;         // tokens: seen or, while more, estimated
@@ -66,8 +69,16 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(organisation, generation, waiting, running, estimate, oldest_age_ms,
-            prefix, charged, counter);
+    internal::Text(archive, organisation.value);
+    internal::Number(archive, generation);
+    internal::Number(archive, waiting);
+    internal::Number(archive, running);
+    internal::Number(archive, estimate);
+    archive(cost_known);
+    internal::Number(archive, oldest_age_ms);
+    internal::Rare(archive, prefix);
+    internal::Signed(archive, charged);
+    internal::Rare(archive, counter);
   }
 };
 
@@ -81,7 +92,10 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(target, running, failed, tokens);
+    internal::Text(archive, target.value);
+    internal::Number(archive, running);
+    internal::Number(archive, failed);
+    internal::Number(archive, tokens);
   }
 };
 
@@ -99,8 +113,37 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(pool, epoch, sequence, full, reply_to, grants, organisations,
-            targets);
+    internal::Pool(archive, pool);
+    internal::Number(archive, epoch.value);
+    internal::Number(archive, sequence);
+    archive(full);
+    internal::Address(archive, reply_to);
+    archive(grants);
+    internal::List(archive, organisations);
+    internal::List(archive, targets);
+  }
+};
+
+// TargetTraits is what a target states of its own behaviour; one byte on the
+// wire.
+struct TargetTraits {
+  bool can_resume = false;      // goes on with a cut stream
+  bool echoes_id = false;       // names the request that it answers
+  bool states_not_run = false;  // marks what it refused before running
+  bool checks_fencing = false;  // refuses orders with a stale fencing number
+
+  friend bool operator==(const TargetTraits&, const TargetTraits&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    auto bits = static_cast<uint8_t>(
+        (this->can_resume ? 1U : 0U) | (this->echoes_id ? 2U : 0U) |
+        (this->states_not_run ? 4U : 0U) | (this->checks_fencing ? 8U : 0U));
+    archive(bits);
+    this->can_resume = (bits & 1U) != 0;
+    this->echoes_id = (bits & 2U) != 0;
+    this->states_not_run = (bits & 4U) != 0;
+    this->checks_fencing = (bits & 8U) != 0;
   }
 };
 
@@ -112,10 +155,16 @@
   uint32_t count = 0;
   bool far = false;    // the target is in another region
   double counter = 0;  // the organisation's, after this grant
+  TargetTraits traits{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(organisation, target, address, count, far, counter);
+    internal::Text(archive, organisation.value);
+    internal::Text(archive, target.value);
+    internal::Address(archive, address);
+    internal::Number(archive, count);
+    archive(far, traits);
+    internal::Rare(archive, counter);
   }
 };
 
@@ -127,7 +176,8 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(organisation, waiting_elsewhere);
+    internal::Text(archive, organisation.value);
+    internal::Number(archive, waiting_elsewhere);
   }
 };
 
@@ -149,8 +199,16 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(pool, epoch, sequence, demands, held_ms, expires_ms, full_wanted,
-            backlogged, items, notices);
+    internal::Pool(archive, pool);
+    internal::Number(archive, epoch.value);
+    internal::Number(archive, sequence);
+    archive(demands);
+    internal::Number(archive, held_ms);
+    internal::Number(archive, expires_ms);
+    archive(full_wanted);
+    archive(backlogged);
+    internal::List(archive, items);
+    internal::List(archive, notices);
   }
 };
 
@@ -168,11 +226,20 @@
   uint32_t running = 0;  // requests in its batch
   uint32_t waiting = 0;  // requests admitted but not in its batch
   uint32_t age_ms = 0;   // of this reading when it was forwarded
+  TargetTraits traits{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(pool, target, address, incarnation, sequence, intent, slots,
-            running, waiting, age_ms);
+    internal::Pool(archive, pool);
+    internal::Text(archive, target.value);
+    internal::Address(archive, address);
+    internal::Number(archive, incarnation);
+    internal::Number(archive, sequence);
+    archive(intent, traits);
+    internal::Number(archive, slots);
+    internal::Number(archive, running);
+    internal::Number(archive, waiting);
+    internal::Number(archive, age_ms);
   }
 };
 
@@ -184,7 +251,9 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(organisation, generation, charged);
+    internal::Text(archive, organisation.value);
+    internal::Number(archive, generation);
+    internal::Signed(archive, charged);
   }
 };
 
@@ -193,10 +262,14 @@
   TargetId target{};
   net::SocketAddress address{};
   uint32_t slots = 0;
+  TargetTraits traits{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(target, address, slots);
+    internal::Text(archive, target.value);
+    internal::Address(archive, address);
+    internal::Number(archive, slots);
+    archive(traits);
   }
 };
 
@@ -207,7 +280,8 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(target, running);
+    internal::Text(archive, target.value);
+    internal::Number(archive, running);
   }
 };
 
@@ -228,8 +302,16 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(pool, epoch, sequence, answers, held_ms, expires_ms, wants_slots,
-            organisations, loans, uses);
+    internal::Pool(archive, pool);
+    internal::Number(archive, epoch.value);
+    internal::Number(archive, sequence);
+    internal::Number(archive, answers);
+    internal::Number(archive, held_ms);
+    internal::Number(archive, expires_ms);
+    archive(wants_slots);
+    internal::List(archive, organisations);
+    internal::List(archive, loans);
+    internal::List(archive, uses);
   }
 };
 
