Count in force from the own time of applying

A change resent to a new leader waited for the whole span again, although it had been accepted before.

--- a/samphirebank/control/internal/server.h
+++ b/samphirebank/control/internal/server.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "samphirebank/assignment/assignment.h"
+#include "samphirebank/control/internal/in_force.h"
 #include "samphirebank/control/internal/operator_api.h"
 #include "samphirebank/control/internal/replicated_state.h"
 #include "samphirebank/control/internal/replication.h"
@@ -92,6 +93,7 @@
   wire::Opener opener;
   ReplicatedState state;
   lease::Holder holder;  // its history follows state.contracts
+  InForceClock in_force;
   lease::Registry registry;
   assignment::Wanted wanted;
   std::unique_ptr<net::PeerSocket> peers;
--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -121,6 +121,7 @@
        }});
   this->holder = lease::MakeHolder(HolderOptionsOf(
       this->settings, this->boot, this->peers->port(), this->operator_port));
+  this->in_force.span = lease::InForceAfter(this->holder.options.terms);
   settings::WritePortsFile(
       this->settings.ports_file,
       {{"peer", this->peers->port()}, {"operator", this->operator_port}});
@@ -139,6 +140,8 @@
   if (this->holder.history.configuration.revision <
       history.configuration.revision) {
     contracts::ApplyChange(this->holder.history, history.changes.back());
+    NoteApplied(this->in_force, history.configuration.revision,
+                net::Loop::Now());
   }
   return applied;
 }
@@ -148,6 +151,8 @@
     return this->Fail("the snapshot cannot be read");
   }
   this->holder.history = this->state.contracts.history;
+  NoteRestored(this->in_force, this->holder.history.configuration.revision,
+               net::Loop::Now());
 }
 
 void Server::OnLeadership() {
--- a/samphirebank/control/server_operators.cc
+++ b/samphirebank/control/server_operators.cc
@@ -127,14 +127,16 @@
 
 void Server::FinishWrite(const Stream& stream, const OperatorCall& call,
                          const contracts::Outcome& outcome) {
-  const Duration after = lease::InForceAfter(this->holder.options.terms);
+  const Duration after =
+      UntilInForce(this->in_force, outcome.revision, net::Loop::Now());
   const auto reply = [this, stream, call, outcome, after](bool in_force) {
     stream->Reply(WriteReply(outcome, call.command,
                              this->state.contracts.history.configuration,
                              in_force, after));
   };
   const bool accepted = outcome.verdict == contracts::Verdict::kAccepted;
-  if (!accepted || !call.wait_in_force) return reply(false);
+  const bool now_in_force = accepted && after == Duration::zero();
+  if (!accepted || !call.wait_in_force) return reply(now_in_force);
   this->loop.After(after, [reply, call, outcome] {
     events::Log({.number = events::Number::kChangeInForce,
                  .change = call.command.change,
@@ -165,15 +167,14 @@
       break;
   }
   const TimePoint now = net::Loop::Now();
-  return StatusReply(
-      {.self = this->settings.identity.instance,
-       .leader = this->replication->leader(),
-       .term = this->replication->term(),
-       .log_index = this->replication->last_index(),
-       .voters = this->replication->voters(),
-       .lease_left = lease::LeaseLeft(this->holder, now),
-       .in_force_after = lease::InForceAfter(this->holder.options.terms)},
-      configuration, this->registry, now);
+  return StatusReply({.self = this->settings.identity.instance,
+                      .leader = this->replication->leader(),
+                      .term = this->replication->term(),
+                      .log_index = this->replication->last_index(),
+                      .voters = this->replication->voters(),
+                      .lease_left = lease::LeaseLeft(this->holder, now),
+                      .in_force_after = this->in_force.span},
+                     configuration, this->registry, now);
 }
 
 }  // namespace samphirebank::control
