Tell routers when a backlog begins; test what mutants survived

Three survived and have tests now: lost grants not noticed, the floor not rebuilt (the cap on held slots hid it, so that test states known costs), and slots lent on while own work waits. New: routers hear at once when requests begin to wait, so that ends which they hold back for up to 1.5 s free their slots; before, they heard with the next acknowledgement. Receipts say what is missing, in one byte mostly; a router that only runs requests sends a demand each 2 s instead of each second.

--- a/samphirebank/queue/exchange.cc
+++ b/samphirebank/queue/exchange.cc
@@ -228,6 +228,8 @@
   Confirm(pool, grant.demands);
   if (sent == pool.sent_at.end()) return dispatches;
   pool.backlogged = grant.backlogged;
+  // Ends that were held back may free slots for what waits.
+  if (pool.backlogged && pool.usage_since) pool.news = true;
   TakeNotices(pool, grant, now);
   const TimePoint expires = sent->second +
                             std::chrono::milliseconds(grant.held_ms) +
--- a/samphirebank/queue/queue.h
+++ b/samphirebank/queue/queue.h
@@ -50,7 +50,7 @@
   // Longest delay of a change in usage, while nothing waits in the pool.
   Duration usage_interval = std::chrono::milliseconds(1500);
   // A demand is sent at least this often while anything waits or runs.
-  Duration keepalive = std::chrono::milliseconds(1000);
+  Duration keepalive = std::chrono::milliseconds(2000);
   // Changes that were not acknowledged are sent again after this time.
   Duration resend_after = std::chrono::milliseconds(400);
   uint32_t max_waiting = 50'000;  // requests, over all pools
--- a/samphirebank/scheduler/grants.cc
+++ b/samphirebank/scheduler/grants.cc
@@ -14,6 +14,8 @@
 // kLoadBound is how far above the mean load a prefix may load its target.
 constexpr double kLoadBound = 1.25;
 
+// kBacklogMemory is how long after a backlog routers are not told of the next.
+constexpr Duration kBacklogMemory = std::chrono::seconds(1);
 // kCandidates is how many organisations are looked at for one grant.
 constexpr uint32_t kCandidates = 16;
 
@@ -245,6 +247,22 @@
   internal::CheckTargets(scheduler, now);
 }
 
+// TellBacklog lets all routers know when requests begin to wait, so that they
+// report at once what ends.
+void TellBacklog(Scheduler& scheduler, TimePoint now) {
+  if (scheduler.ready.empty()) {
+    const Duration calm = now - scheduler.backlog_at;
+    if (calm >= kBacklogMemory) scheduler.backlog_told = false;
+    return;
+  }
+  scheduler.backlog_at = now;
+  if (scheduler.backlog_told) return;
+  scheduler.backlog_told = true;
+  for (auto& [id, router] : scheduler.routers) {
+    internal::OweAnswer(scheduler, router, now);
+  }
+}
+
 void AnswerDue(Scheduler& scheduler, std::vector<Outgoing>& out,
                TimePoint now) {
   while (!scheduler.answers.empty()) {
@@ -267,6 +285,7 @@
       GrantOne(scheduler, now);
     }
     internal::UpdateSpill(scheduler, now);
+    TellBacklog(scheduler, now);
   }
   for (Router* router : scheduler.granted) {
     out.push_back(MakeOutgoing(scheduler, *router, now));
--- a/samphirebank/scheduler/internal/state.h
+++ b/samphirebank/scheduler/internal/state.h
@@ -184,6 +184,8 @@
   // Routers that are owed an answer, by the time when it is due.
   std::set<std::tuple<TimePoint, uint64_t, Router*>> answers{};
   std::vector<Router*> granted{};  // routers with items of the grant being made
+  bool backlog_told = false;       // to all routers, since backlog_at
+  TimePoint backlog_at{};          // when requests last had to wait
   bool rebuilt = false;            // rebuild_time is over
   placement::Ring ring{};
   std::vector<Target*> ring_targets{};  // by the ring's positions
--- a/samphirebank/scheduler/scheduler_test.cc
+++ b/samphirebank/scheduler/scheduler_test.cc
@@ -117,6 +117,61 @@
   CHECK(bench.Granted() == Counts{{"a", 2}});
 }
 
+TEST_CASE("a grant that its router does not know of frees its slots soon") {
+  Bench bench;
+  bench.now += seconds(1);
+  bench.Report("t1", 2);
+  bench.Ask("r1", {Wants("a", 9)});
+  CHECK(bench.Granted() == Counts{{"a", 2}});
+  bench.now += milliseconds(100);
+  bench.Ask("r1", {Wants("a", 9)});
+  CHECK(bench.Granted().empty());  // it may still be on its way
+  bench.now += milliseconds(200);
+  bench.Ask("r1", {Wants("a", 9)});
+  CHECK(bench.Granted() == Counts{{"a", 2}});
+}
+
+TEST_CASE("routers hear at once when requests begin to wait") {
+  Bench bench;
+  bench.now += seconds(1);
+  bench.Report("t1", 1);
+  bench.Ask("r1", {Wants("a", 1)});
+  bench.Granted();
+  bench.now += milliseconds(300);
+  auto running = Wants("a", 0);
+  running.running = 1;
+  bench.Ask("r1", {running}, {{.target = TargetId("t1"), .running = 1}}, 1);
+  bench.now += milliseconds(300);
+  CHECK(bench.Granted().empty());  // acknowledges
+  bench.Ask("r2", {Wants("b", 5)});
+  std::map<std::string, bool> told;
+  for (const Outgoing& out : Tick(bench.state, bench.now)) {
+    told[out.router.value] = out.grant.backlogged;
+  }
+  CHECK(told["r1"]);
+}
+
+TEST_CASE("a target that comes and goes waits longer for work each time") {
+  Bench bench;
+  bench.now += seconds(1);
+  bench.Ask("r1", {Wants("a", 1000)});
+  std::vector<bool> granted;
+  for (int i = 0; i < 4; ++i) {
+    bench.Report("t1", 100 + 100 * static_cast<uint32_t>(i));
+    granted.push_back(!bench.Granted().empty());
+    bench.now += milliseconds(2500);
+    bench.Ask("r1", {Wants("a", 1000)});
+    bench.Granted();
+  }
+  CHECK(granted == std::vector<bool>{true, true, false, false});
+  for (int i = 0; i < 20; ++i) {
+    bench.now += milliseconds(500);
+    bench.Report("t1", 600);
+    bench.Ask("r1", {Wants("a", 1000)});
+  }
+  CHECK(!bench.Granted().empty());
+}
+
 TEST_CASE("an organisation back from idle brings no credit") {
   Bench bench;
   bench.Report("t1", 1000);
@@ -216,14 +271,19 @@
 
 TEST_CASE("a new scheduler goes on from the counters that routers tell") {
   Bench bench;
+  // Known costs, so that no cap on what they hold hides the counters.
   auto rich = Wants("a", 100);
+  rich.cost_known = true;
   rich.counter = 5000;
   auto poor = Wants("b", 100);
   poor.counter = 4600;
+  poor.cost_known = true;
   bench.Ask("r1", {rich});
   bench.Ask("r2", {poor});
   bench.Contract(ContractOf("new"));
-  bench.Ask("r3", {Wants("new", 100)});
+  auto fresh = Wants("new", 100);
+  fresh.cost_known = true;
+  bench.Ask("r3", {fresh});
   bench.now += seconds(1);
   bench.Report("t1", 15);
   const Counts counts = bench.Granted();
--- a/samphirebank/scheduler/share_test.cc
+++ b/samphirebank/scheduler/share_test.cc
@@ -133,6 +133,21 @@
   CHECK(also_busy.FarDispatches() == 0);
 }
 
+TEST_CASE("a region gets its unused slots back when its own work comes") {
+  Region busy("aqaba", 2);
+  Region lender("bilbao", 10);
+  TimePoint now = kStart;
+  busy.Enqueue(6, now);
+  Run(busy, lender, now, seconds(6));
+  CHECK(busy.FarDispatches() == 4);
+  busy.Enqueue(1, now);  // keeps asking for slots
+  Run(busy, lender, now, seconds(1));
+  const size_t used = busy.FarDispatches();
+  lender.Enqueue(20, now);
+  Run(busy, lender, now, seconds(3));
+  CHECK(lender.dispatches.size() == 10 - used);
+}
+
 TEST_CASE("service in the other region counts") {
   Region one("aqaba", 1);
   Region two("bilbao", 1);
--- a/samphirebank/sharing/receipts.cc
+++ b/samphirebank/sharing/receipts.cc
@@ -11,7 +11,7 @@
     const uint64_t step = sequence - this->newest;
     // The old newest becomes bit step - 1 and the others move up by step.
     this->before = step >= kRemembered ? 0 : this->before << step;
-    if (step <= kRemembered && this->newest != 0) {
+    if (step <= kRemembered) {
       this->before |= uint64_t{1} << (step - 1);
     }
     this->newest = sequence;
--- a/samphirebank/sharing/sharing.h
+++ b/samphirebank/sharing/sharing.h
@@ -34,7 +34,8 @@
 // which of the 64 before it.
 struct Receipts {
   uint64_t newest = 0;
-  uint64_t before = 0;  // bit i: number newest - 1 - i was received
+  // Bit i: number newest - 1 - i was received, or is below 1.
+  uint64_t before = ~uint64_t{0};
 
   // Add records `sequence`; false if it was recorded before or is too old to
   // tell.
@@ -47,8 +48,11 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    // Mostly nothing is missing, which takes one byte.
+    uint64_t missing = ~before;
     internal::Number(archive, newest);
-    internal::Rare(archive, before);
+    internal::Rare(archive, missing);
+    before = ~missing;
   }
 };
 
