Replace a silent scheduler after 2 s instead of 4 s

Cause: after kill -9 of the router that schedules a pool, calls through other routers waited 5.33 s: 4 s of silence, up to 0.25 s to plan, up to 0.5 s until routers poll, 1 s to rebuild from full reports. Routers poll every 0.5 s and followers pass on what they heard every 0.25 s, so 2 s still tolerates two lost polls, and a false alarm costs one rebuild. Ruled out: a shorter rebuild, which would grant before all routers told what runs.

--- a/samphirebank/assignment/assignment.h
+++ b/samphirebank/assignment/assignment.h
@@ -47,9 +47,9 @@
 struct Options {
   TimePoint since;  // when this leader took office
   // A holder unheard for so long is replaced.
-  Duration holder_silence = std::chrono::seconds(4);
+  Duration holder_silence = std::chrono::seconds(2);
   // A router heard within this time may get a pool.
-  Duration candidate_silence = std::chrono::seconds(3);
+  Duration candidate_silence = std::chrono::milliseconds(1500);
 };
 
 // Plan returns the assignments to be made now. A leader in office for less
--- a/samphirebank/assignment/assignment_test.cc
+++ b/samphirebank/assignment/assignment_test.cc
@@ -37,7 +37,9 @@
   contracts::Configuration configuration;
   lease::Registry registry;
   Wanted wanted{{kPool, Epoch(0)}};
-  Options options{.since = At(0)};
+  Options options{.since = At(0),
+                  .holder_silence = seconds(4),
+                  .candidate_silence = seconds(3)};
 
   size_t Run(int s) {
     return Carry(this->configuration, Plan(this->configuration, this->registry,
@@ -88,6 +90,17 @@
   CHECK(fixture.standing().holder == InstanceId("b"));
 }
 
+TEST_CASE("by default a holder is replaced after two seconds of silence") {
+  Fixture fixture;
+  fixture.options = {.since = At(0)};
+  Hear(fixture.registry, "a", At(100));
+  fixture.Run(100);
+  Hear(fixture.registry, "b", At(101));
+  CHECK(fixture.Run(101) == 0);
+  Hear(fixture.registry, "b", At(102));
+  CHECK(fixture.Run(102) == 1);
+}
+
 TEST_CASE("a new leader waits until it can have heard all") {
   Fixture fixture;
   Hear(fixture.registry, "a", At(100));
