Leave a router with a low lease for control again

An answer that leaves the lease low now sends the holder back to control, or to the next control instance. The new test in lease_test failed before the change.

--- a/samphirebank/lease/holder.cc
+++ b/samphirebank/lease/holder.cc
@@ -130,12 +130,26 @@
   return holder.history.configuration.revision != before;
 }
 
+bool IsLow(const Holder& holder, TimePoint now) {
+  return LeaseLeft(holder, now) < holder.options.terms.length / 2;
+}
+
+// AskAnother turns away from whoever gave a low lease. From a router it turns
+// back to control, so that two routers do not live off each other's leases.
+void AskAnother(Holder& holder) {
+  const size_t controls = holder.options.controls.size();
+  const size_t candidates = controls + holder.peers.size();
+  if (candidates == 0) return;
+  const bool is_peer = holder.preference % candidates >= controls;
+  holder.preference = is_peer ? 0 : holder.preference + 1;
+}
+
 // PollInterval is short while the lease runs low, so that a new leader's first
 // proof is picked up before the lease ends.
 Duration PollInterval(const Holder& holder, TimePoint now) {
   const HolderOptions& options = holder.options;
-  const bool low = LeaseLeft(holder, now) < options.terms.length / 2;
-  return low ? std::min(options.answer_timeout, options.poll_interval)
+  return IsLow(holder, now)
+             ? std::min(options.answer_timeout, options.poll_interval)
              : options.poll_interval;
 }
 
@@ -189,6 +203,7 @@
     ++holder.preference;
   }
   PromoteProof(holder);
+  if (update.lease_age_ns && IsLow(holder, now)) AskAnother(holder);
   if (IsBehind(holder, update)) {
     holder.next_poll = now + holder.options.copy_gap;
   } else if (update.lease_age_ns) {
--- a/samphirebank/lease/holder_test.cc
+++ b/samphirebank/lease/holder_test.cc
@@ -122,6 +122,24 @@
   CHECK(OnTimer(holder, At(milliseconds(12'300))).size() == 1);
 }
 
+TEST_CASE("a router with a low lease is left for control again") {
+  HolderOptions options = Options();
+  options.controls.pop_back();
+  Holder holder = MakeHolder(options);
+  const net::SocketAddress peer{"127.0.0.1", 3};
+  holder.peers = {peer};
+  CHECK(OnTimer(holder, At(seconds(10))).at(0).to == kFar);
+  const auto send = OnTimer(holder, At(milliseconds(10'300))).at(0);
+  CHECK(send.to == peer);
+  const TimePoint answered = At(milliseconds(10'310));
+  OnUpdate(holder,
+           Answer(contracts::History(), Proof{At(seconds(8)), Revision(0)},
+                  Terms(), send.poll, answered),
+           answered);
+  CHECK(MayAct(holder, answered));
+  CHECK(OnTimer(holder, At(milliseconds(10'700))).at(0).to == kFar);
+}
+
 TEST_CASE("a snapshot comes in pieces while changes go on") {
   contracts::Machine machine =
       MachineWith(static_cast<int>(contracts::kKeptChanges) + 1000);
