--- a/samphirebank/router/attempts.cc
+++ b/samphirebank/router/attempts.cc
@@ -44,6 +44,7 @@
             int status, const std::vector<net::Header>& headers) {
   request.answer =
       relay::BeginAnswer({.request = AttemptId(request.id, attempt),
+                          .target_echoes_id = request.traits.echoes_id,
                           .model_stream = request.model_stream},
                          status, headers);
   request.answer_headers = relay::ResponseHeaders(headers);
--- a/samphirebank/router/pools.cc
+++ b/samphirebank/router/pools.cc
@@ -18,6 +18,10 @@
 // The loop turns at least this often; polls and expiries depend on it.
 constexpr Duration kPumpInterval = std::chrono::milliseconds(20);
 constexpr Duration kAskPoolInterval = std::chrono::milliseconds(500);
+// Schedulers of one service in two regions tell each other their counters at
+// this pace, while one of them has work waiting.
+constexpr Duration kShareInterval = std::chrono::milliseconds(400);
+constexpr Duration kShareMemory = std::chrono::seconds(2);
 
 const contracts::SchedulerAssignment* FindAssignment(const Router& router,
                                                      const PoolId& pool) {
@@ -37,12 +41,13 @@
   return found == router.schedulers.end() ? nullptr : &found->second;
 }
 
-void AskForPool(Router& router, const PoolId& pool, TimePoint now) {
+void AskForPool(Router& router, const PoolId& pool, Epoch failed,
+                TimePoint now) {
   TimePoint& asked = router.pool_asked[pool];
   if (asked != TimePoint() && now - asked < kAskPoolInterval) return;
   asked = now;
   SendMessage(router, ControlAddress(router),
-              assignment::PoolRequest{.pool = pool});
+              assignment::PoolRequest{.pool = pool, .failed = failed});
 }
 
 void SendDemands(Router& router, TimePoint now) {
@@ -81,7 +86,7 @@
        targets::TakeDue(router.targets, now)) {
     const auto* const assignment = FindAssignment(router, state.pool);
     if (assignment == nullptr) {
-      AskForPool(router, state.pool, now);
+      AskForPool(router, state.pool, Epoch(), now);
     } else if (IsOwn(router, *assignment)) {
       OnTargetState(router, state, now);
     } else {
@@ -90,11 +95,54 @@
   }
 }
 
+// SendShare tells one neighbour, if there is something to tell: work waits
+// here, or the neighbour itself told something lately.
+void SendShare(Router& router, scheduler::State& state, const PoolId& neighbour,
+               const contracts::SchedulerAssignment& holder, TimePoint now) {
+  TimePoint& sent = router.share_sent[neighbour];
+  if (sent != TimePoint() && now - sent < kShareInterval) return;
+  const auto heard = router.share_heard.find(neighbour);
+  const bool answers =
+      heard != router.share_heard.end() && now - heard->second < kShareMemory;
+  if (!answers && scheduler::Summarize(state).waiting == 0) return;
+  sent = now;
+  const scheduler::OutgoingShare out =
+      scheduler::BuildCounterShare(state, neighbour, now);
+  if (IsOwn(router, holder)) {
+    OnCounterShare(router, out.share, now);
+  } else {
+    SendMessage(router, holder.address, out.share);
+  }
+}
+
+void SendShares(Router& router, TimePoint now) {
+  const auto& pools = router.holder.history.configuration.pools;
+  for (auto& [own, state] : router.schedulers) {
+    for (const auto& [pool, record] : pools) {
+      if (pool.service != own.service || pool == own) continue;
+      SendShare(router, state, pool, record.value, now);
+    }
+  }
+}
+
+void AskForLostPools(Router& router, TimePoint now) {
+  for (const auto& [pool, epoch] : router.lost_epochs) {
+    AskForPool(router, pool, epoch, now);
+  }
+}
+
+// IsLost says whether an assignment was made to an earlier run.
+bool IsLost(const Router& router, const PoolId& pool, Epoch epoch) {
+  const auto found = router.lost_epochs.find(pool);
+  return found != router.lost_epochs.end() && found->second >= epoch;
+}
+
 outcome::Grant ToGrant(const queue::Dispatch& dispatch) {
   return {.target = dispatch.target,
           .address = dispatch.address,
           .epoch = dispatch.epoch,
-          .expires = dispatch.expires};
+          .expires = dispatch.expires,
+          .can_resume = dispatch.traits.can_resume};
 }
 
 }  // namespace
@@ -117,6 +165,8 @@
     const contracts::SchedulerAssignment& assignment = record.value;
     queue::OnEpoch(router.queues, pool, assignment.epoch, now);
     if (!IsOwn(router, assignment)) continue;
+    if (IsLost(router, pool, assignment.epoch)) continue;
+    router.lost_epochs.erase(pool);
     if (FindScheduler(router, pool) == nullptr) {
       router.schedulers.emplace(
           pool, scheduler::Create({}, pool, assignment.epoch, now));
@@ -127,6 +177,10 @@
                    .epoch = assignment.epoch});
     }
   }
+  std::erase_if(router.lost_epochs, [&](const auto& item) {
+    const auto* const assignment = FindAssignment(router, item.first);
+    return assignment == nullptr || !IsOwn(router, *assignment);
+  });
   for (auto& [pool, state] : router.schedulers) {
     scheduler::OnConfiguration(state, configuration, now);
   }
@@ -144,6 +198,9 @@
   if (!lease::MayAct(router.holder, now)) return;
   for (const queue::Dispatch& dispatch :
        queue::ApplyGrant(router.queues, grant, now)) {
+    const auto request = router.requests.find(dispatch.id);
+    if (request == router.requests.end()) continue;
+    request->second->traits = dispatch.traits;
     Raise(router, dispatch.id, outcome::GrantGot{.grant = ToGrant(dispatch)});
   }
 }
@@ -159,14 +216,25 @@
   for (auto& [pool, state] : router.schedulers) {
     const bool same_service = pool.service == share.pool.service;
     if (!same_service || pool == share.pool) continue;
+    router.share_heard[share.pool] = now;
     scheduler::OnCounterShare(state, share, now);
   }
 }
 
+void NoteLostAssignments(Router& router) {
+  const auto& pools = router.holder.history.configuration.pools;
+  for (const auto& [pool, record] : pools) {
+    if (!IsOwn(router, record.value)) continue;
+    router.lost_epochs[pool] = record.value.epoch;
+  }
+}
+
 void PumpPools(Router& router, TimePoint now) {
+  AskForLostPools(router, now);
   SendTargetStates(router, now);
   SendDemands(router, now);
   SendGrants(router, now);
+  SendShares(router, now);
   // What the grants started or returned may be told at once.
   SendDemands(router, now);
 }
