--- a/samphirebank/app/main.cc
+++ b/samphirebank/app/main.cc
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "samphirebank/contracts/contracts.h"
 #include "samphirebank/events/events.h"
 #include "samphirebank/settings/settings.h"
 #ifdef SAMPHIREBANK_HAS_ROUTER
@@ -146,6 +147,18 @@
   return 0;
 }
 
+// PrintKeyHash reads an API key from standard input, so that it stands in no
+// list of processes.
+int PrintKeyHash(const Arguments& arguments, const Environment&) {
+  std::string key;
+  if (!arguments.empty() || !std::getline(std::cin, key) || key.empty()) {
+    std::cerr << "samphirebank key-hash reads one API key from its input\n";
+    return settings::kExitBadSettings;
+  }
+  std::cout << contracts::KeyHash(key) << "\n";
+  return 0;
+}
+
 std::vector<Subcommand> Subcommands() {
   std::vector<Subcommand> table;
 #ifdef SAMPHIREBANK_HAS_OPERATORS
@@ -164,6 +177,8 @@
   table.push_back({{"emulator"}, "run stand-in targets", Emulator});
   table.push_back({{"load"}, "send requests and count answers", Load});
 #endif
+  table.push_back(
+      {{"key-hash"}, "print what a contract stores of a key", PrintKeyHash});
   table.push_back({{"events"}, "print the catalogue of events", PrintEvents});
   return table;
 }
--- a/samphirebank/emulator/load.cc
+++ b/samphirebank/emulator/load.cc
@@ -17,7 +17,6 @@
 
 constexpr int kMaxAttempts = 4;
 constexpr Duration kResendPause = std::chrono::milliseconds(100);
-constexpr char kOutcomeHeader[] = "x-samphirebank-outcome";
 
 double Milliseconds(Duration span) {
   return std::chrono::duration<double, std::milli>(span).count();
@@ -33,7 +32,6 @@
   TimePoint began;
   // Of the running attempt:
   int status = 0;
-  std::string outcome;
   std::string body;
   std::optional<TimePoint> first_byte;
 };
@@ -106,7 +104,6 @@
   void Attempt(const SendingPointer& sending) {
     ++sending->attempt;
     sending->status = 0;
-    sending->outcome.clear();
     sending->body.clear();
     sending->first_byte.reset();
     const auto& routers = this->settings.routers;
@@ -119,10 +116,8 @@
          .first_byte_timeout = this->settings.patience,
          .idle_timeout = this->settings.patience,
          .on_head =
-             [sending](int status, const std::vector<net::Header>& headers) {
+             [sending](int status, const std::vector<net::Header>&) {
                sending->status = status;
-               sending->outcome =
-                   net::FindHeader(headers, kOutcomeHeader).value_or("");
              },
          .on_data =
              [sending](std::string_view piece) {
@@ -176,7 +171,6 @@
 
   // OutcomeOf reads the outcome that a refusal states.
   std::string OutcomeOf(const Sending& sending) const {
-    if (!sending.outcome.empty()) return sending.outcome;
     const auto body = nlohmann::json::parse(sending.body, nullptr, false);
     const bool stated = body.is_object() && body.contains("outcome") &&
                         body["outcome"].is_string();
--- a/samphirebank/settings/operators.cc
+++ b/samphirebank/settings/operators.cc
@@ -8,7 +8,7 @@
 struct VerbText {
   std::string words;
   std::string summary;
-  std::vector<std::string> arguments;
+  std::string argument;
   bool changes = false;
 };
 
@@ -16,39 +16,30 @@
   switch (verb) {
     case OperatorVerb::kContractPut:
       return {"contract put",
-              "Writes a contract from a JSON file ('-': input).",
-              {"FILE"},
-              true};
+              "Writes a contract from a JSON file ('-': input).", "FILE", true};
     case OperatorVerb::kContractGet:
-      return {"contract get", "Shows one contract.", {"ORGANISATION"}, false};
+      return {"contract get", "Shows one contract.", "ORGANISATION", false};
     case OperatorVerb::kContractList:
-      return {"contract list", "Lists all contracts.", {}, false};
+      return {"contract list", "Lists all contracts.", "", false};
     case OperatorVerb::kContractWithdraw:
-      return {"contract withdraw", "Ends a contract.", {"ORGANISATION"}, true};
+      return {"contract withdraw", "Ends a contract.", "ORGANISATION", true};
     case OperatorVerb::kTargetList:
-      return {"target list", "Lists targets and what was declared.", {}, false};
+      return {"target list", "Lists targets and what was declared.", "", false};
     case OperatorVerb::kTargetLeave:
-      return {"target leave",
-              "Gives a target no new work; what runs ends.",
-              {"TARGET"},
-              true};
+      return {"target leave", "Gives a target no new work; what runs ends.",
+              "TARGET", true};
     case OperatorVerb::kTargetStop:
-      return {"target stop",
-              "Gives a target no new work; cancels what runs.",
-              {"TARGET"},
-              true};
+      return {"target stop", "Gives a target no new work; cancels what runs.",
+              "TARGET", true};
     case OperatorVerb::kTargetJoin:
-      return {
-          "target join", "Lets a target have work again.", {"TARGET"}, true};
+      return {"target join", "Lets a target have work again.", "TARGET", true};
     case OperatorVerb::kControlReplace:
-      return {"control replace",
-              "Replaces a member of the control group.",
-              {"OLD_MEMBER", "NEW_ID=IP:PORT"},
-              true};
+      return {"control replace", "Replaces a member of the control group.",
+              "MEMBER", true};
     case OperatorVerb::kStatus:
       break;
   }
-  return {"status", "Shows every instance of the fleet.", {}, false};
+  return {"status", "Shows every instance of the fleet.", "", false};
 }
 
 std::vector<Flag> ChangeFlags(OperatorSettings* into) {
@@ -85,11 +76,10 @@
   const VerbText text = TextOf(into->verb);
   FlagTable table{.usage = "samphirebank " + text.words,
                   .summary = text.summary};
-  std::string* fields[] = {&into->subject, &into->successor};
-  for (size_t i = 0; i < text.arguments.size(); ++i) {
-    table.usage += ' ' + text.arguments[i];
+  if (!text.argument.empty()) {
+    table.usage += ' ' + text.argument;
     table.positionals.push_back(
-        {.name = text.arguments[i], .take = TakeText(fields[i])});
+        {.name = text.argument, .take = TakeText(&into->subject)});
   }
   table.usage += " [flags]";
   Append(&table,
--- a/samphirebank/settings/settings.h
+++ b/samphirebank/settings/settings.h
@@ -135,8 +135,7 @@
   Secret operator_token = {};
   std::string subject =
       {};  // a contract file, an organisation, a target, a member
-  std::string successor = {};  // `control replace`: the new member, id=ip:port
-  ChangeId change_id = {};     // empty: a fresh one
+  ChangeId change_id = {};  // empty: a fresh one
   std::optional<Revision> if_match = {};
   bool wait_in_force = false;
   bool json = false;
