--- a/samphirebank/consensus/conformance_test.cc
+++ b/samphirebank/consensus/conformance_test.cc
@@ -361,6 +361,7 @@
     for (const Node& node : this->nodes) {
       const Membership& known = CurrentMembership(node.state).membership;
       RC_ASSERT(known.IsVoter(node.id()));
+      RC_ASSERT(known.learners.size() <= 1);
       RC_ASSERT(node.applied.size() + 100 > this->truth.size());
     }
   }
--- a/samphirebank/consensus/consensus.h
+++ b/samphirebank/consensus/consensus.h
@@ -292,7 +292,8 @@
 };
 
 // Propose asks to append commands as consecutive entries. One ProposalAnswer
-// follows.
+// follows; when this member loses office meanwhile, not before the log decides
+// what stands at these entries, which may take as long as it is cut off.
 struct Propose {
   ProposalTag tag{};
   std::vector<std::string> commands{};
@@ -306,7 +307,8 @@
 
 // ChangeKind says how a membership is to change.
 enum class ChangeKind : uint8_t {
-  kAddLearner,     // `member` gets the log without a vote
+  kAddLearner,     // `member` gets the log without a vote, in place of an
+                   // earlier learner of the same instance
   kRemoveLearner,  // `member` gets it no longer
   kPromote,        // the learner `member` gets a vote
   kRemoveVoter,    // `member` loses its vote and leaves
@@ -412,7 +414,7 @@
   uint64_t seed = 1;  // differs between members and runs
   // peers are the instances that an unknown member announces itself to.
   std::vector<InstanceId> peers{};
-  Duration heartbeat_interval = std::chrono::milliseconds(200);
+  Duration heartbeat_interval = std::chrono::milliseconds(300);
   // A member stands for election after one to two election timeouts without
   // a leader; a leader steps down after one without a quorum.
   Duration election_timeout = std::chrono::milliseconds(1000);
--- a/samphirebank/consensus/membership.cc
+++ b/samphirebank/consensus/membership.cc
@@ -26,6 +26,10 @@
   switch (change.kind) {
     case ChangeKind::kAddLearner:
       if (membership.Contains(change.member)) return {};
+      // An earlier folder of the same instance will not come back.
+      std::erase_if(membership.learners, [&](const MemberId& learner) {
+        return learner.instance == change.member.instance;
+      });
       membership.learners.insert(change.member);
       return membership;
     case ChangeKind::kRemoveLearner:
--- a/samphirebank/consensus/snapshot.cc
+++ b/samphirebank/consensus/snapshot.cc
@@ -13,24 +13,29 @@
   while (all.size() > 1 && all[1].index <= index) all.erase(all.begin());
 }
 
+// HeavyThrough is the newest entry behind which the entries up to `covered`
+// weigh more than a quarter of what makes a snapshot due.
+LogIndex HeavyThrough(const State& state, LogIndex covered) {
+  int64_t kept = 0;
+  for (LogIndex i = covered; i > state.base_index; i -= LogIndex(1)) {
+    kept += static_cast<int64_t>(EntryAt(state, i).payload.size());
+    if (4 * kept > state.options.snapshot_bytes.value) return i;
+  }
+  return state.base_index;
+}
+
 // Compact drops entries behind the snapshot that no member is likely to need.
+// What follows a snapshot on its way to a member stays.
 void Compact(State& state) {
   const LogIndex covered = state.snapshot.head.index;
   const LogIndex trailing(state.options.trailing_entries);
   LogIndex through = covered > trailing ? covered - trailing : LogIndex(0);
+  through = std::max(through, HeavyThrough(state, covered));
   for (const auto& [member, progress] : state.progress) {
     if (!progress.transfer) continue;
     through = std::min(through, progress.transfer->snapshot.head.index);
   }
   DropThrough(state, through);
-  // Large entries are not kept behind the snapshot at all.
-  int64_t kept = 0;
-  for (LogIndex i = covered; i > state.base_index; i -= LogIndex(1)) {
-    kept += static_cast<int64_t>(EntryAt(state, i).payload.size());
-    if (4 * kept <= state.options.snapshot_bytes.value) continue;
-    DropThrough(state, std::max(through, i));
-    return;
-  }
 }
 
 // ReplaceLog makes the snapshot the start of the log; entries behind it stay
