--- a/samphirebank/control/internal/server.h
+++ b/samphirebank/control/internal/server.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "samphirebank/assignment/assignment.h"
+#include "samphirebank/control/internal/in_force.h"
 #include "samphirebank/control/internal/operator_api.h"
 #include "samphirebank/control/internal/replicated_state.h"
 #include "samphirebank/control/internal/replication.h"
@@ -22,6 +23,13 @@
 
 namespace samphirebank::control {
 
+// PeerTraffic counts messages between instances since the start.
+struct PeerTraffic {
+  uint64_t packets_sent = 0;
+  uint64_t bytes_sent = 0;
+  uint64_t bytes_received = 0;
+};
+
 // Server is one control instance. It belongs to the loop's thread.
 class Server {
  public:
@@ -62,7 +70,7 @@
   void PollLeader();
   void ConfirmLease();
   void AssignPools();
-  void WatchOwners();
+  void WatchInstances();
 
   // Operators.
   void OnRequest(const std::shared_ptr<net::ServerStream>& stream);
@@ -85,6 +93,7 @@
   wire::Opener opener;
   ReplicatedState state;
   lease::Holder holder;  // its history follows state.contracts
+  InForceClock in_force;
   lease::Registry registry;
   assignment::Wanted wanted;
   std::unique_ptr<net::PeerSocket> peers;
@@ -95,6 +104,7 @@
   TimePoint last_claim;  // this leader's newest claims entry
   uint64_t own_changes = 0;
   bool has_failed = false;
+  PeerTraffic traffic;
 };
 
 }  // namespace samphirebank::control
