Count outcomes over real processes under faults; cancel a faulty attempt

An answer that relay refused at its head (another request's id) made the machine retry without cancelling the attempt, and the router fed that attempt's later bytes into the next one's answer.

relay keeps the option that says whether a not-run statement is believed, as the router uses it; an echo of another id is refused even when no echo was announced.

--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -85,8 +85,8 @@
                 .file = given.log_file});
   events::Log({.number = events::Number::kProcessStarted});
   this->OpenPorts();
-  this->replication = MakeConsensusReplication(this->loop, this->settings,
-                                               this->MakeHooks());
+  this->replication =
+      MakeConsensusReplication(this->loop, this->settings, this->MakeHooks());
   this->StartTimers();
 }
 
--- a/samphirebank/emulator/announcer.cc
+++ b/samphirebank/emulator/announcer.cc
@@ -105,6 +105,8 @@
               {"slots", this->settings->slots},
               {"checks_fencing", this->settings->checks_fencing},
               {"can_resume", this->settings->can_resume},
+              {"echoes_request_id", true},
+              {"states_not_run", true},
               {"renew_ms", renew.count()}}
       .dump();
 }
--- a/samphirebank/outcome/outcome.cc
+++ b/samphirebank/outcome/outcome.cc
@@ -153,6 +153,7 @@
     if (resumed || AwaitsBody(request, event.attempt)) {
       internal::OnBroken(this->context, event);
     } else if (awaits_head) {
+      this->context.actions.push_back(CancelAttempt{.attempt = event.attempt});
       internal::OnAttemptFailed(this->context,
                                 AttemptFailed{.attempt = event.attempt});
     }
--- a/samphirebank/outcome/outcome.h
+++ b/samphirebank/outcome/outcome.h
@@ -159,7 +159,8 @@
   claims::RecordedAnswer record;
 };
 
-// AnswerBroken: the answer was cut, stalled, or relay found a fault.
+// AnswerBroken: the answer was cut, stalled, or relay found a fault, at its
+// head or later. The attempt is cancelled.
 struct AnswerBroken {
   uint32_t attempt = 0;
   std::string detail;
--- a/samphirebank/outcome/outcome_test.cc
+++ b/samphirebank/outcome/outcome_test.cc
@@ -168,6 +168,14 @@
   }
 }
 
+TEST_CASE("an answer found faulty at its head is cancelled") {
+  Driver driver(true);
+  driver.Do(GrantGot{GrantOf("t1")});
+  driver.Do(AnswerBroken{.attempt = 1, .can_resume = false});
+  CHECK(driver.Find<CancelAttempt>()->attempt == 1);
+  CHECK(driver.Find<Requeue>() != nullptr);
+}
+
 TEST_CASE("a caller that leaves cancels its work and pays what ran") {
   Driver driver(true);
   driver.Do(GrantGot{GrantOf("t1")});
--- a/samphirebank/outcome/outcome_world_test.cc
+++ b/samphirebank/outcome/outcome_world_test.cc
@@ -202,15 +202,20 @@
                                         .tokens = Tokens(1)});
   }
 
+  // Break loses a connection, or lets the router find a fault in the answer:
+  // then the call stays open until the router cancels it.
   void Break(size_t position) {
     const Call call = this->calls[position];
     if (!call.open) return;
-    this->calls[position].open = false;
-    if (call.head_sent) {
+    const bool faulty = call.at_target && Pick(2) == 0;
+    if (faulty || call.head_sent) {
+      this->calls[position].head_sent = true;
+      this->calls[position].open = faulty;
       this->Do(call.arrival, AnswerBroken{.attempt = call.attempt});
-    } else {
-      this->Do(call.arrival, AttemptFailed{.attempt = call.attempt});
+      return;
     }
+    this->calls[position].open = false;
+    this->Do(call.arrival, AttemptFailed{.attempt = call.attempt});
   }
 
   void Crash(size_t router) {
--- a/samphirebank/relay/relay.cc
+++ b/samphirebank/relay/relay.cc
@@ -164,7 +164,8 @@
   answer.retry_after = ParseRetryAfter(headers);
   answer.length = ParseLength(headers, answer.fault);
   const auto not_run = net::FindHeader(headers, kNotRunHeader);
-  answer.states_not_run = status >= 400 && not_run && *not_run == "true";
+  const bool refusal = status >= 400 && not_run && *not_run == "true";
+  answer.states_not_run = refusal && options.target_states_not_run;
   if (answer.length && *answer.length > options.limits.answer) {
     answer.fault = Fault::kTooLarge;
   }
--- a/samphirebank/relay/relay.h
+++ b/samphirebank/relay/relay.h
@@ -71,9 +71,10 @@
 
 // AnswerOptions says what is known of the request and its target.
 struct AnswerOptions {
-  RequestId request;              // as sent in kRequestIdHeader
-  bool target_echoes_id = false;  // by its announcement
-  bool model_stream = false;      // a stream must end with "data: [DONE]"
+  RequestId request;                   // as sent in kRequestIdHeader
+  bool target_echoes_id = false;       // by its announcement
+  bool target_states_not_run = false;  // kNotRunHeader may be believed
+  bool model_stream = false;           // a stream must end with "data: [DONE]"
   Limits limits;
 };
 
--- a/samphirebank/relay/relay_test.cc
+++ b/samphirebank/relay/relay_test.cc
@@ -126,7 +126,8 @@
                          {std::string(kNotRunHeader), "true"}};
   CHECK(!BeginAnswer(echoes, 200, own).fault);
   CHECK(BeginAnswer(echoes, 200, {}).fault == Fault::kWrongRequest);
-  Answer crossed = BeginAnswer({.request = RequestId("r1")}, 503, other);
+  Answer crossed = BeginAnswer(
+      {.request = RequestId("r1"), .target_states_not_run = true}, 503, other);
   CHECK(crossed.fault == Fault::kWrongRequest);
   CHECK(!crossed.states_not_run);
   CHECK(Feed(crossed, "x").bytes.empty());
@@ -135,10 +136,12 @@
 TEST_CASE("a refusal before running is read with its time to come back") {
   const Headers headers = {{std::string(kNotRunHeader), "true"},
                            {"retry-after", "7"}};
-  const Answer refused = BeginAnswer({}, 503, headers);
+  const AnswerOptions believed = {.target_states_not_run = true};
+  const Answer refused = BeginAnswer(believed, 503, headers);
   CHECK(refused.states_not_run);
+  CHECK(!BeginAnswer({}, 503, headers).states_not_run);
   CHECK(refused.retry_after == std::chrono::seconds(7));
-  CHECK(!BeginAnswer({}, 200, headers).states_not_run);
+  CHECK(!BeginAnswer(believed, 200, headers).states_not_run);
 }
 
 TEST_CASE("sizes are capped") {
--- a/samphirebank/router/attempts.cc
+++ b/samphirebank/router/attempts.cc
@@ -145,9 +145,11 @@
                                  .sent = net::SendState::kNotSent});
     return;
   }
-  const auto with = [&router, id](auto action) {
+  // What comes of an attempt that was given up reaches no caller.
+  const auto with = [&router, id, attempt](auto action) {
     const auto found = router.requests.find(id);
-    if (found != router.requests.end()) action(*found->second);
+    if (found == router.requests.end()) return;
+    if (found->second->machine.attempt == attempt) action(*found->second);
   };
   events::Log({.number = events::Number::kRequestDispatched,
                .request = id,
