--- /dev/null
+++ b/samphirebank/testing/processes.cc
@@ -0,0 +1,186 @@
+#include "samphirebank/testing/processes.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+namespace samphirebank::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds kGiveUp(30);
+constexpr milliseconds kTryAgain(20);
+
+sockaddr_in Loopback(uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+// Bind binds a loopback port; the kernel chooses it when `port` is 0.
+int Bind(int type, uint16_t& port) {
+  const int descriptor = socket(AF_INET, type, 0);
+  sockaddr_in address = Loopback(port);
+  socklen_t size = sizeof(address);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  if (bind(descriptor, generic, size) != 0) {
+    close(descriptor);
+    return -1;
+  }
+  getsockname(descriptor, generic, &size);
+  port = ntohs(address.sin_port);
+  return descriptor;
+}
+
+// Pointers returns what posix_spawn wants; `words` stays the owner.
+std::vector<char*> Pointers(std::vector<std::string>& words) {
+  std::vector<char*> pointers;
+  pointers.reserve(words.size() + 1);
+  for (std::string& word : words) pointers.push_back(word.data());
+  pointers.push_back(nullptr);
+  return pointers;
+}
+
+std::string ReadAll(int connection) {
+  std::string all;
+  char piece[8192];
+  for (;;) {
+    const ssize_t count = recv(connection, piece, sizeof(piece), 0);
+    if (count <= 0) return all;
+    all.append(piece, static_cast<size_t>(count));
+  }
+}
+
+// JoinChunks replaces a chunked body by its content.
+void JoinChunks(Reply& reply) {
+  std::string content;
+  size_t at = 0;
+  for (;;) {
+    const size_t line = reply.body.find("\r\n", at);
+    if (line == std::string::npos) break;
+    const size_t size = std::strtoul(reply.body.c_str() + at, nullptr, 16);
+    if (size == 0) {
+      reply.whole = true;
+      break;
+    }
+    content += reply.body.substr(line + 2, size);
+    at = line + 2 + size + 2;
+    if (at > reply.body.size()) break;
+  }
+  reply.body = std::move(content);
+}
+
+}  // namespace
+
+uint16_t FreePort() {
+  for (;;) {
+    uint16_t port = 0;
+    const int stream = Bind(SOCK_STREAM, port);
+    const int datagram = Bind(SOCK_DGRAM, port);
+    close(stream);
+    if (datagram < 0) continue;
+    close(datagram);
+    return port;
+  }
+}
+
+Folder::Folder() {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "samphirebankXXXXXX").string();
+  this->location = mkdtemp(pattern.data());
+}
+
+Folder::~Folder() {
+  std::error_code ignored;
+  std::filesystem::remove_all(this->location, ignored);
+}
+
+Process::Process(std::vector<std::string> words,
+                 std::vector<std::string> environment) {
+  const std::vector<char*> arguments = Pointers(words);
+  const std::vector<char*> variables = Pointers(environment);
+  const int failed = posix_spawn(&this->id, words.front().c_str(), nullptr,
+                                 nullptr, arguments.data(), variables.data());
+  if (failed != 0) throw std::runtime_error("cannot start " + words.front());
+}
+
+Process::~Process() {
+  if (this->id == 0) return;
+  this->Signal(SIGKILL);
+  this->Wait();
+}
+
+void Process::Signal(int signal) const {
+  if (this->id != 0) kill(this->id, signal);
+}
+
+int Process::Wait() {
+  if (this->id == 0) return -1;
+  int status = 0;
+  waitpid(this->id, &status, 0);
+  this->id = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+int Begin(uint16_t port, const Call& call) {
+  std::string text = call.method + " " + call.path +
+                     " HTTP/1.1\r\nhost: x\r\nconnection: close\r\n";
+  for (const std::string& header : call.headers) text += header + "\r\n";
+  text += "content-length: " + std::to_string(call.body.size()) + "\r\n\r\n" +
+          call.body;
+  const int connection = socket(AF_INET, SOCK_STREAM, 0);
+  const timeval limit{.tv_sec = kGiveUp.count(), .tv_usec = 0};
+  setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  const sockaddr_in to = Loopback(port);
+  connect(connection, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+  send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+  return connection;
+}
+
+Reply End(int connection) {
+  const std::string all = ReadAll(connection);
+  close(connection);
+  constexpr size_t kStatusAt = 9;
+  const size_t body = all.find("\r\n\r\n");
+  if (body == std::string::npos || all.size() < kStatusAt + 3) return {};
+  Reply reply{.status = std::atoi(all.c_str() + kStatusAt),
+              .head = all.substr(0, body + 2),
+              .body = all.substr(body + 4)};
+  if (reply.head.find("transfer-encoding: chunked") != std::string::npos) {
+    JoinChunks(reply);
+    return reply;
+  }
+  const size_t length = reply.head.find("content-length: ");
+  reply.whole = length != std::string::npos &&
+                std::strtoul(reply.head.c_str() + length + 16, nullptr, 10) ==
+                    reply.body.size();
+  return reply;
+}
+
+Reply Ask(uint16_t port, const Call& call) { return End(Begin(port, call)); }
+
+bool WaitUntil(const std::function<bool()>& condition) {
+  const auto give_up = std::chrono::steady_clock::now() + kGiveUp;
+  while (std::chrono::steady_clock::now() < give_up) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(kTryAgain);
+  }
+  return false;
+}
+
+}  // namespace samphirebank::testing
