--- a/samphirebank/consensus/membership.cc
+++ b/samphirebank/consensus/membership.cc
@@ -12,7 +12,8 @@
   const Progress& progress = found->second;
   const LogIndex reached =
       progress.match + LogIndex(state.options.catch_up_lag);
-  return reached >= LastIndex(state) &&
+  // A newcomer that never answered is still probed.
+  return !progress.probing && reached >= LastIndex(state) &&
          progress.match >= state.snapshot.head.index &&
          context.now - progress.last_reply < state.options.election_timeout;
 }
@@ -25,6 +26,10 @@
   switch (change.kind) {
     case ChangeKind::kAddLearner:
       if (membership.Contains(change.member)) return {};
+      // An earlier folder of the same instance will not come back.
+      std::erase_if(membership.learners, [&](const MemberId& learner) {
+        return learner.instance == change.member.instance;
+      });
       membership.learners.insert(change.member);
       return membership;
     case ChangeKind::kRemoveLearner:
--- a/samphirebank/control/server_operators.cc
+++ b/samphirebank/control/server_operators.cc
@@ -48,9 +48,16 @@
 }
 
 net::Response Server::Metrics() const {
-  const auto gauge = [](const std::string& name, double value) {
-    return "# TYPE samphirebank_" + name + " gauge\nsamphirebank_" + name +
-           " " + std::to_string(value) + "\n";
+  const auto line = [](const std::string& name, const std::string& kind,
+                       const std::string& value) {
+    return "# TYPE samphirebank_" + name + " " + kind + "\nsamphirebank_" +
+           name + " " + value + "\n";
+  };
+  const auto gauge = [&](const std::string& name, double value) {
+    return line(name, "gauge", std::to_string(value));
+  };
+  const auto counter = [&](const std::string& name, uint64_t value) {
+    return line(name, "counter", std::to_string(value));
   };
   const TimePoint now = net::Loop::Now();
   const double left =
@@ -67,7 +74,10 @@
       gauge("config_lease_left_seconds", left) +
       gauge("contracts", number(configuration.contracts.size())) +
       gauge("claims", number(this->state.claims.entries.size())) +
-      gauge("instances_heard", number(this->registry.heard.size()));
+      gauge("instances_heard", number(this->registry.heard.size())) +
+      counter("peer_packets_sent_total", this->traffic.packets_sent) +
+      counter("peer_bytes_sent_total", this->traffic.bytes_sent) +
+      counter("peer_bytes_received_total", this->traffic.bytes_received);
   return {.content_type = "text/plain; version=0.0.4", .body = std::move(text)};
 }
 
@@ -117,14 +127,16 @@
 
 void Server::FinishWrite(const Stream& stream, const OperatorCall& call,
                          const contracts::Outcome& outcome) {
-  const Duration after = lease::InForceAfter(this->holder.options.terms);
+  const Duration after =
+      UntilInForce(this->in_force, outcome.revision, net::Loop::Now());
   const auto reply = [this, stream, call, outcome, after](bool in_force) {
     stream->Reply(WriteReply(outcome, call.command,
                              this->state.contracts.history.configuration,
                              in_force, after));
   };
   const bool accepted = outcome.verdict == contracts::Verdict::kAccepted;
-  if (!accepted || !call.wait_in_force) return reply(false);
+  const bool now_in_force = accepted && after == Duration::zero();
+  if (!accepted || !call.wait_in_force) return reply(now_in_force);
   this->loop.After(after, [reply, call, outcome] {
     events::Log({.number = events::Number::kChangeInForce,
                  .change = call.command.change,
@@ -155,15 +167,14 @@
       break;
   }
   const TimePoint now = net::Loop::Now();
-  return StatusReply(
-      {.self = this->settings.identity.instance,
-       .leader = this->replication->leader(),
-       .term = this->replication->term(),
-       .log_index = this->replication->last_index(),
-       .voters = this->replication->voters(),
-       .lease_left = lease::LeaseLeft(this->holder, now),
-       .in_force_after = lease::InForceAfter(this->holder.options.terms)},
-      configuration, this->registry, now);
+  return StatusReply({.self = this->settings.identity.instance,
+                      .leader = this->replication->leader(),
+                      .term = this->replication->term(),
+                      .log_index = this->replication->last_index(),
+                      .voters = this->replication->voters(),
+                      .lease_left = lease::LeaseLeft(this->holder, now),
+                      .in_force_after = this->in_force.span},
+                     configuration, this->registry, now);
 }
 
 }  // namespace samphirebank::control
