--- a/samphirebank/operators/internal/client.h
+++ b/samphirebank/operators/internal/client.h
@@ -71,6 +71,17 @@
 ApiReply Exchange(const settings::OperatorSettings& settings,
                   const ApiRequest& request);
 
+// ServerStatus is what one control instance says of the fleet.
+struct ServerStatus {
+  net::SocketAddress address;
+  std::string body;  // empty: it did not answer
+};
+
+// MergeStatus returns one JSON object: a row for each control instance, each
+// other instance as the control instance that heard it last knows it, and the
+// voters and pools of the newest revision.
+std::string MergeStatus(const std::vector<ServerStatus>& servers);
+
 // TableOf returns a reply as a table for people; the reply itself if it is no
 // JSON.
 std::string TableOf(const std::string& body);
--- a/samphirebank/operators/operators.cc
+++ b/samphirebank/operators/operators.cc
@@ -1,8 +1,10 @@
 #include "samphirebank/operators/operators.h"
 
+#include <algorithm>
 #include <iostream>
 #include <iterator>
 #include <random>
+#include <vector>
 
 #include "samphirebank/operators/internal/client.h"
 
@@ -14,6 +16,7 @@
 
 constexpr int kNotFound = 404;
 constexpr int kExitRefused = 1;
+constexpr Duration kStatusTimeout = std::chrono::seconds(2);
 
 // FreshChangeId returns an id that no other change has.
 ChangeId FreshChangeId() {
@@ -53,7 +56,8 @@
   }
   if (done) return 0;
   std::cerr << ProblemText(reply);
-  const bool unsure = reply.status == 0 || reply.status >= 500;
+  const bool question = settings.verb == OperatorVerb::kStatus;
+  const bool unsure = !question && (reply.status == 0 || reply.status >= 500);
   if (unsure && !settings.change_id.value.empty()) {
     std::cerr << "To send the same change again: --change-id "
               << settings.change_id.value << "\n";
@@ -61,10 +65,30 @@
   return kExitRefused;
 }
 
+// AskEach asks every server for its status; they hear different instances.
+ApiReply AskEach(const OperatorSettings& settings) {
+  std::vector<ServerStatus> all;
+  ApiReply last;
+  for (const net::SocketAddress& server : settings.servers) {
+    OperatorSettings one = settings;
+    one.servers = {server};
+    one.timeout = std::min(settings.timeout, kStatusTimeout);
+    const ApiReply reply = Exchange(one, RequestOf(one, ""));
+    const bool answered = reply.status == 200;
+    all.push_back({.address = server, .body = answered ? reply.body : ""});
+    if (answered || last.status != 200) last = reply;
+  }
+  if (last.status == 200) last.body = MergeStatus(all);
+  return last;
+}
+
 }  // namespace
 
 int RunOperator(const OperatorSettings& given) {
   OperatorSettings settings = given;
+  if (settings.verb == OperatorVerb::kStatus) {
+    return Print(settings, AskEach(settings));
+  }
   std::string contract;
   std::string organisation = settings.subject;
   if (settings.verb == OperatorVerb::kContractPut) {
--- a/samphirebank/operators/operators_test.cc
+++ b/samphirebank/operators/operators_test.cc
@@ -54,6 +54,23 @@
         "2         dune          1\n");
 }
 
+TEST_CASE("status merges what each control instance hears") {
+  const std::string merged =
+      MergeStatus({{.address = {.ip = "127.0.0.1", .port = 1},
+                    .body = R"({"instance": "c1", "revision": 4, "leader": "c2",
+          "instances": [{"instance": "r1", "heard_ms_ago": 900, "lag": 1}]})"},
+                   {.address = {.ip = "127.0.0.1", .port = 2}},
+                   {.address = {.ip = "127.0.0.1", .port = 3},
+                    .body = R"({"instance": "c3", "revision": 5, "leader": "c3",
+          "instances": [{"instance": "r1", "heard_ms_ago": 100, "lag": 0},
+                        {"instance": "r2", "heard_ms_ago": 5, "lag": 0}]})"}});
+  CHECK(RevisionOf(merged) == Revision(5));
+  CHECK(merged.find(R"("leader":"c3","revision":5)") != std::string::npos);
+  CHECK(merged.find(R"("answers":false)") != std::string::npos);
+  CHECK(merged.find("900") == std::string::npos);
+  CHECK(merged.find(R"("instance":"r2")") != std::string::npos);
+}
+
 TEST_CASE("a revision and an organisation are read from JSON only") {
   CHECK(RevisionOf(R"({"revision": 7})") == Revision(7));
   CHECK(!RevisionOf(R"({"revision": "7"})"));
