Forget the old leader's operator address with its leadership

A change of leader now makes the follower ask the new leader first and name nobody until it answered.

--- a/samphirebank/control/process_test.cc
+++ b/samphirebank/control/process_test.cc
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -323,6 +324,41 @@
   CheckContracts(group, 11);
 }
 
+// FlipMiddleByte spoils the largest file of a data folder.
+void FlipMiddleByte(const std::string& folder) {
+  std::filesystem::path largest;
+  uintmax_t size = 0;
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    if (entry.file_size() <= size) continue;
+    size = entry.file_size();
+    largest = entry.path();
+  }
+  std::fstream file(largest, std::ios::in | std::ios::out | std::ios::binary);
+  const auto middle = static_cast<std::streamoff>(size / 2);
+  file.seekg(middle);
+  const int byte = file.get();
+  file.seekp(middle);
+  file.put(static_cast<char>(byte ^ 1));
+}
+
+TEST_CASE("a corrupt log stops its instance, and the others go on") {
+  Group group;
+  for (int i = 0; i < 20; ++i) {
+    CHECK(group.Ask(Put(i, "org" + std::to_string(i))).status == 200);
+  }
+  Instance& spoiled = group.Other(group.Leader());
+  group.Kill(spoiled);
+  FlipMiddleByte(group.DataFolder(spoiled));
+  group.Start(spoiled);
+  int status = 0;
+  CHECK(waitpid(spoiled.pid, &status, 0) == spoiled.pid);
+  spoiled.pid = 0;
+  CHECK(WIFEXITED(status));
+  CHECK(WEXITSTATUS(status) == 1);
+  CHECK(group.Ask(Put(20, "org20")).status == 200);
+  CheckContracts(group, 21);
+}
+
 TEST_CASE("2,000 changes survive a restart of all") {
   Group group;
   constexpr int kChanges = 2000;
--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -168,9 +168,11 @@
     this->ConfirmLease();
   }
   this->led = leads;
-  // The nearest control instance to ask is the leader.
+  // Ask the new leader first; what was known of the old one is out of date.
   const auto leader = this->replication->leader();
   this->holder.options.controls.clear();
+  this->holder.preference = 0;
+  this->holder.leader_operator.reset();
   for (const settings::ControlMember& member : this->settings.members) {
     if (leads || leader != member.instance) continue;
     this->holder.options.controls.push_back({.address = member.peer_address});
