--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -17,15 +17,15 @@
  * how the quorum knows that it leads (consensus.pml), more than two holders,
  * more than MAX_REVISION changes.
  *
- * Mutants that must fail: MUTANT_basis, MUTANT_nonce, MUTANT_relay,
- * MUTANT_proof, MUTANT_revert, MUTANT_early.
+ * Mutants that must fail: MUTANT_BASIS, MUTANT_NONCE, MUTANT_RELAY,
+ * MUTANT_PROOF, MUTANT_REVERT, MUTANT_EARLY.
  */
 #define LENGTH 3
 #define MAX_REVISION 2
 #define HOLDERS 2
 #define NONE 255
 
-#ifdef MUTANT_early
+#ifdef MUTANT_EARLY
 #define IN_FORCE_AFTER (LENGTH - 1)
 #else
 #define IN_FORCE_AFTER LENGTH
@@ -96,7 +96,7 @@
 }
 
 inline AnswerByHolder(h, by) {
-#ifdef MUTANT_relay
+#ifdef MUTANT_RELAY
   FillAnswer(h, 0, proven[by], revision[by])
 #else
   FillAnswer(h, basis_age[by], proven[by], revision[by])
@@ -104,7 +104,7 @@
 }
 
 inline TakeAnswer(h) {
-#ifdef MUTANT_revert
+#ifdef MUTANT_REVERT
   revision[h] = answer_revision[h];
 #else
   if
@@ -113,12 +113,12 @@
   fi;
 #endif
   /* The basis is the time of asking less the stated age. */
-#ifdef MUTANT_basis
+#ifdef MUTANT_BASIS
   i = answer_age[h];
 #else
   i = asked_age[h] + answer_age[h];
 #endif
-#ifdef MUTANT_proof
+#ifdef MUTANT_PROOF
   if
   :: i < basis_age[h] ->
 #else
@@ -134,7 +134,7 @@
   answer_current[h] = false
 }
 
-#ifdef MUTANT_nonce
+#ifdef MUTANT_NONCE
 #define MAY_TAKE(h) (answer_age[h] != NONE && asked_age[h] != NONE)
 #else
 #define MAY_TAKE(h) (answer_current[h] && asked_age[h] != NONE)
