--- a/samphirebank/router/actions.cc
+++ b/samphirebank/router/actions.cc
@@ -21,6 +21,8 @@
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
 };
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 void MakeClaim(Router& router, CallerRequest& request) {
   const net::RequestHead& head = request.stream->head();
--- a/samphirebank/router/router_process_test.cc
+++ b/samphirebank/router/router_process_test.cc
@@ -151,6 +151,7 @@
   constexpr int kStreams = 8;
   Entry& leaving = fleet.entries[1];
   std::vector<int> streams;
+  streams.reserve(kStreams + 1);
   for (int i = 0; i < kStreams; ++i) {
     streams.push_back(
         testing::Begin(leaving.caller, Fleet::ModelCall("guides", 100)));
@@ -201,6 +202,7 @@
       [&] { return Ask(cold.admin, {.path = "/readyz"}).status == 200; }));
   constexpr int kFlood = 150;
   std::vector<int> flood;
+  flood.reserve(kFlood);
   for (int i = 0; i < kFlood; ++i) {
     flood.push_back(
         testing::Begin(cold.caller, Fleet::ModelCall("guides", 20)));
