Carry clock stamps in control's packets too

Cause: routers stamped their packets, control neither stamped nor observed, so a time line over both roles followed wall clocks. Ruled out: a stamp in each message type, since every packet passes one place. Before: 2 of 3 directions unstamped; after: all packets carry a stamp and advance the receiver's clock.

--- a/samphirebank/control/internal/server.h
+++ b/samphirebank/control/internal/server.h
@@ -59,7 +59,7 @@
   void OnPoolRequest(const wire::Packet& packet);
   void OnClaimRequest(const wire::Opened& opened);
   void ProposeClaim(const claims::Command& command);
-  void SendTo(const net::SocketAddress& to, const wire::Packet& packet);
+  void SendTo(const net::SocketAddress& to, wire::Packet packet);
   void SendToMember(const InstanceId& instance, const wire::Packet& packet);
   // ForwardToLeader passes a packet on; does nothing without another leader.
   void ForwardToLeader(const wire::Packet& packet);
--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -193,6 +193,8 @@
   wire::leaf::try_handle_all(
       [&]() -> wire::leaf::result<void> {
         BOOST_LEAF_AUTO(opened, this->opener.Open(message));
+        events::Observe({.wall_ms = opened.packet.clock_ms,
+                         .logical = opened.packet.clock_logical});
         switch (opened.packet.kind) {
           case wire::Kind::kConsensus:
             this->replication->OnMessage(opened);
@@ -287,7 +289,10 @@
       });
 }
 
-void Server::SendTo(const net::SocketAddress& to, const wire::Packet& packet) {
+void Server::SendTo(const net::SocketAddress& to, wire::Packet packet) {
+  const events::Stamp stamp = events::CurrentStamp();
+  packet.clock_ms = stamp.wall_ms;
+  packet.clock_logical = stamp.logical;
   const std::string bytes = this->sealer.Seal(packet);
   this->traffic.packets_sent += 1;
   this->traffic.bytes_sent += bytes.size();
