Count 79 bytes a packet in the fairness measurement

Cause: the measurement added 104 bytes for sealing and headers; since protocol version 2 it is 51 of sealing (two-letter instance name) and 28 of UDP and IP.

--- a/samphirebank/measure/scheduled.cc
+++ b/samphirebank/measure/scheduled.cc
@@ -18,7 +18,7 @@
 using std::chrono::seconds;
 
 // kPacketOverhead is what sealing, UDP and IP add to a payload.
-constexpr double kPacketOverhead = 104;  // bytes
+constexpr double kPacketOverhead = 79;  // bytes: 51 of sealing, 28 of UDP
 constexpr Duration kReportPeriod = milliseconds(500);
 constexpr Duration kReportAge = milliseconds(200);
 constexpr Duration kTakeover = seconds(3);
