--- a/samphirebank/router/admin.cc
+++ b/samphirebank/router/admin.cc
@@ -15,6 +15,7 @@
 
 using nlohmann::json;
 
+constexpr Duration kCutOffRetry = std::chrono::seconds(1);
 constexpr std::string_view kTargetsPrefix = "/targets/v1/";
 
 uint64_t WallMilliseconds() {
@@ -37,6 +38,11 @@
 
 void Announce(Router& router, net::ServerStream& stream,
               const std::string& body) {
+  if (!lease::MayAct(router.holder, net::Loop::Now())) {
+    Refuse(stream, ingress::NotRun(503, "this router is cut off; try another",
+                                   kCutOffRetry));
+    return;
+  }
   const targets::ReadAnnouncement read = targets::ParseAnnouncement(body);
   if (!read.findings.empty()) {
     Refuse(stream, ingress::BadRequest(read.findings));
--- a/samphirebank/router/attempts.cc
+++ b/samphirebank/router/attempts.cc
@@ -215,6 +215,25 @@
   request.call = nullptr;
 }
 
+void StopAttempts(Router& router) {
+  const auto& declared = router.holder.history.configuration.targets;
+  std::vector<std::shared_ptr<CallerRequest>> stopped;
+  for (const auto& [id, request] : router.requests) {
+    if (request->call == nullptr || !request->machine.grant) continue;
+    const auto found = declared.find(request->machine.grant->target);
+    const bool stops = found != declared.end() &&
+                       found->second.value == contracts::TargetIntent::kStopped;
+    if (stops) stopped.push_back(request);
+  }
+  for (const auto& request : stopped) {
+    const uint32_t attempt = request->machine.attempt;
+    const net::CallError error{.sent = request->call->sent(),
+                               .detail = "the target was stopped"};
+    request->call->Cancel();
+    OnError(router, *request, attempt, error);
+  }
+}
+
 void PassOn(Router& router, CallerRequest& request) {
   net::ServerStream& stream = *request.stream;
   if (!request.head_sent) {
--- a/samphirebank/router/configuration.cc
+++ b/samphirebank/router/configuration.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "samphirebank/events/events.h"
+#include "samphirebank/router/internal/attempts.h"
 #include "samphirebank/router/internal/callers.h"
 #include "samphirebank/router/internal/peers.h"
 #include "samphirebank/router/internal/pools.h"
@@ -33,6 +34,7 @@
   router.installed = configuration.revision;
   router.keys = ingress::IndexKeys(configuration);
   TakeAssignments(router, now);
+  StopAttempts(router);
   events::Log({.number = events::Number::kRevisionInstalled,
                .revision = configuration.revision});
 }
--- a/samphirebank/router/internal/attempts.h
+++ b/samphirebank/router/internal/attempts.h
@@ -16,6 +16,9 @@
 // CancelAttempt closes the call at the target, or drops a delayed dispatch.
 void CancelAttempt(Router& router, CallerRequest& request);
 
+// StopAttempts cancels what runs on targets that an operator declared stopped.
+void StopAttempts(Router& router);
+
 // PassOn sends the caller what is held of the answer.
 void PassOn(Router& router, CallerRequest& request);
 
--- a/samphirebank/router/router_process_test.cc
+++ b/samphirebank/router/router_process_test.cc
@@ -191,6 +191,25 @@
   CHECK(Ask(entry.caller, Fleet::ModelCall("guides", 1)).status == 200);
 }
 
+TEST_CASE("a stopped target's work ends at once, never as a whole answer") {
+  Fleet fleet(8);
+  fleet.Contracts({"guides"});
+  const Entry& entry = fleet.entries[0];
+  const int running =
+      testing::Begin(entry.caller, Fleet::ModelCall("guides", 3000));
+  for (const char* target : {"target-1", "target-2"}) {
+    CHECK(Ask(fleet.control_operator,
+              {.method = "PUT",
+               .path = std::string("/operator/v1/targets/") + target,
+               .headers = {kOperator, std::string("change-id: stop-") + target},
+               .body = R"({"intent":"stopped"})"})
+              .status == 200);
+  }
+  const Reply reply = testing::End(running);
+  CHECK(!(reply.status == 200 && reply.whole));
+  CHECK(!Has(reply, "data: [DONE]"));
+}
+
 TEST_CASE("a flood at one cold router leaves others their share") {
   Fleet fleet(2);
   fleet.Contracts({"guides", "desks"}, R"(,"queue_length":40)");
