Export the router's series by the metrics library; renew every 500 ms

Cause: /metrics was written by hand and had no histograms; the library for it stood unused. First byte and whole answer are histograms now. A target's own 'not run' is believed only if its announcement says that it states it. Stand-in targets and targets that name no interval renew every 500 ms, since 1.2 s of silence takes their work away and 1 s left no room for one lost renewal.

--- a/samphirebank/router/actions.cc
+++ b/samphirebank/router/actions.cc
@@ -47,7 +47,7 @@
 
 void Requeue(Router& router, CallerRequest& request,
              const outcome::Requeue& requeue) {
-  ++router.counts.retried;
+  router.metrics.retried.Add(1);
   events::Log({.number = events::Number::kRequestRetried,
                .request = request.id,
                .duration = requeue.delay});
@@ -78,7 +78,7 @@
 
 void Refuse(Router& router, CallerRequest& request,
             const outcome::Problem& problem) {
-  ++router.counts.refused;
+  router.metrics.refused.Add(1);
   events::Log({.number = events::Number::kRequestRefused,
                .request = request.id,
                .organisation = request.organisation,
@@ -93,7 +93,7 @@
 
 void ReplyRecorded(Router& router, CallerRequest& request,
                    const claims::RecordedAnswer& answer) {
-  ++router.counts.answered;
+  router.metrics.answered.Add(1);
   events::Log({.number = events::Number::kClaimReplayed,
                .request = request.id,
                .organisation = request.organisation,
@@ -107,7 +107,7 @@
 
 void CutStream(Router& router, CallerRequest& request,
                const std::string& detail) {
-  ++router.counts.cut;
+  router.metrics.cut.Add(1);
   events::Log({.number = events::Number::kRequestCut,
                .request = request.id,
                .organisation = request.organisation,
@@ -119,13 +119,15 @@
 }
 
 void FinishAnswer(Router& router, CallerRequest& request) {
-  ++router.counts.answered;
+  const Duration taken = net::Loop::Now() - request.arrived;
+  router.metrics.answered.Add(1);
+  router.metrics.answer.Record(taken);
   events::Log({.number = events::Number::kRequestAnswered,
                .request = request.id,
                .organisation = request.organisation,
                .tokens = relay::GeneratedTokens(request.answer.progress),
                .bytes = request.answer.progress.body,
-               .duration = net::Loop::Now() - request.arrived});
+               .duration = taken});
   request.stream->Finish();
 }
 
--- a/samphirebank/router/admin.cc
+++ b/samphirebank/router/admin.cc
@@ -143,25 +143,9 @@
   stream.Reply({.body = status.dump() + "\n"});
 }
 
-std::string MetricLine(std::string_view name, uint64_t value) {
-  const std::string full = "samphirebank_" + std::string(name);
-  return "# TYPE " + full + " counter\n" + full + " " + std::to_string(value) +
-         "\n";
-}
-
 void ReplyMetrics(const Router& router, net::ServerStream& stream) {
-  const Counts& counts = router.counts;
-  std::string text;
-  text += MetricLine("requests_received_total", counts.received);
-  text += MetricLine("requests_answered_total", counts.answered);
-  text += MetricLine("requests_refused_total", counts.refused);
-  text += MetricLine("requests_cut_total", counts.cut);
-  text += MetricLine("requests_retried_total", counts.retried);
-  text += MetricLine("peer_packets_sent_total", counts.packets_sent);
-  text += MetricLine("peer_bytes_sent_total", counts.packet_bytes_sent);
-  text += MetricLine("peer_bytes_received_total", counts.packet_bytes_received);
-  text += MetricLine("peer_packets_refused_total", counts.packets_refused);
-  stream.Reply({.content_type = "text/plain; version=0.0.4", .body = text});
+  stream.Reply({.content_type = "text/plain; version=0.0.4",
+                .body = router.metrics.registry.ToText()});
 }
 
 void OnWhole(Router& router, net::ServerStream& stream,
--- a/samphirebank/router/attempts.cc
+++ b/samphirebank/router/attempts.cc
@@ -63,7 +63,8 @@
         outcome::HeadReceived{.attempt = attempt,
                               .status = status,
                               .event_stream = request.answer.event_stream,
-                              .states_not_run = request.answer.states_not_run,
+                              .states_not_run = request.traits.states_not_run &&
+                                                request.answer.states_not_run,
                               .retry_after = request.answer.retry_after});
 }
 
@@ -245,9 +246,11 @@
   }
   if (!request.first_byte) {
     request.first_byte = true;
+    const Duration taken = net::Loop::Now() - request.arrived;
+    router.metrics.first_byte.Record(taken);
     events::Log({.number = events::Number::kFirstByte,
                  .request = request.id,
-                 .duration = net::Loop::Now() - request.arrived});
+                 .duration = taken});
   }
   stream.Send(request.held);
   request.held.clear();
--- a/samphirebank/router/callers.cc
+++ b/samphirebank/router/callers.cc
@@ -35,7 +35,7 @@
 
 void ReplyRefusal(Router& router, net::ServerStream& stream,
                   const RequestId& id, const ingress::Refusal& refusal) {
-  ++router.counts.refused;
+  router.metrics.refused.Add(1);
   events::Log({.number = events::Number::kRequestRefused,
                .request = id,
                .status = refusal.problem.status,
@@ -180,7 +180,7 @@
     ReplyReady(router, *stream);
     return;
   }
-  ++router.counts.received;
+  router.metrics.received.Add(1);
   request->id = NextRequestId(router);
   request->stream = stream;
   request->arrived = net::Loop::Now();
--- a/samphirebank/router/internal/state.h
+++ b/samphirebank/router/internal/state.h
@@ -25,6 +25,7 @@
 #include "samphirebank/queue/queue.h"
 #include "samphirebank/relay/relay.h"
 #include "samphirebank/retry/retry.h"
+#include "samphirebank/router/internal/metrics.h"
 #include "samphirebank/scheduler/scheduler.h"
 #include "samphirebank/settings/settings.h"
 #include "samphirebank/sharing/sharing.h"
@@ -70,19 +71,6 @@
   claims::KeepLimits keep;
 };
 
-// Counts are the router's totals.
-struct Counts {
-  uint64_t received = 0;
-  uint64_t answered = 0;
-  uint64_t refused = 0;
-  uint64_t cut = 0;
-  uint64_t retried = 0;
-  uint64_t packets_refused = 0;
-  uint64_t packets_sent = 0;
-  uint64_t packet_bytes_sent = 0;
-  uint64_t packet_bytes_received = 0;
-};
-
 // Router is the whole state of the process.
 struct Router {
   settings::RouterSettings settings;
@@ -124,7 +112,7 @@
   TimePoint drain_until;
   TimePoint drain_since;
   int exit_code = 0;
-  Counts counts;
+  Metrics metrics;
   uint16_t caller_port = 0;
   uint16_t admin_port = 0;
 };
--- a/samphirebank/router/peers.cc
+++ b/samphirebank/router/peers.cc
@@ -61,7 +61,8 @@
 void CountRefused(Router& router, const net::SocketAddress& from) {
   // A flood of forged packets must not become a flood of log lines.
   constexpr uint64_t kLogEvery = 1'000;
-  const uint64_t before = router.counts.packets_refused++;
+  const uint64_t before = router.metrics.packets_refused.value();
+  router.metrics.packets_refused.Add(1);
   if (before % kLogEvery != 0) return;
   events::Log({.number = events::Number::kPacketRefused,
                .count = static_cast<int64_t>(before + 1),
@@ -76,14 +77,14 @@
   packet.clock_ms = stamp.wall_ms;
   packet.clock_logical = stamp.logical;
   const std::string bytes = router.sealer->Seal(packet);
-  ++router.counts.packets_sent;
-  router.counts.packet_bytes_sent += bytes.size();
+  router.metrics.packets_sent.Add(1);
+  router.metrics.packet_bytes_sent.Add(bytes.size());
   router.peers->Send(to, bytes);
 }
 
 void OnPacket(Router& router, const net::SocketAddress& from,
               std::string_view bytes) {
-  router.counts.packet_bytes_received += bytes.size();
+  router.metrics.packet_bytes_received.Add(bytes.size());
   const TimePoint now = net::Loop::Now();
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
--- a/samphirebank/settings/settings.h
+++ b/samphirebank/settings/settings.h
@@ -174,7 +174,7 @@
   uint64_t seed = 1;
   bool checks_fencing = false;
   bool can_resume = false;
-  Duration renew = std::chrono::milliseconds(1000);
+  Duration renew = std::chrono::milliseconds(500);
   Secret target_token = {};
   std::string runs_file = {};  // empty: runs are not recorded
   Fault fault = Fault::kNone;
--- a/samphirebank/targets/announcement.cc
+++ b/samphirebank/targets/announcement.cc
@@ -13,6 +13,7 @@
 constexpr int64_t kMaxSlots = 100'000;
 constexpr int64_t kMinRenewMs = 50;
 constexpr int64_t kMaxRenewMs = 60'000;
+constexpr int64_t kUsualRenewMs = 500;
 constexpr size_t kMaxServices = 256;
 constexpr size_t kMaxNameBytes = 200;
 
@@ -114,7 +115,7 @@
                          .states_not_run = reader.Flag("states_not_run"),
                          .checks_fencing = reader.Flag("checks_fencing")};
   announcement.renew = std::chrono::milliseconds(
-      reader.Number("renew_ms", kMinRenewMs, kMaxRenewMs, 1'000));
+      reader.Number("renew_ms", kMinRenewMs, kMaxRenewMs, kUsualRenewMs));
   return read;
 }
 
--- a/samphirebank/targets/targets.h
+++ b/samphirebank/targets/targets.h
@@ -43,7 +43,7 @@
   std::vector<ServiceOffer> services;
   uint32_t slots = 0;  // requests it batches; 0: not stated
   sharing::TargetTraits traits;
-  Duration renew = std::chrono::seconds(1);
+  Duration renew = std::chrono::milliseconds(500);
 
   friend bool operator==(const Announcement&, const Announcement&) = default;
 };
