--- a/samphirebank/control/process_test.cc
+++ b/samphirebank/control/process_test.cc
@@ -18,6 +18,8 @@
 #include <thread>
 #include <vector>
 
+#include "samphirebank/testing/processes.h"
+
 // Real control processes on loopback; SAMPHIREBANK_BINARY names the program.
 namespace samphirebank::control {
 namespace {
@@ -33,37 +35,6 @@
   Json json() const { return Json::parse(this->body, nullptr, false); }
 };
 
-// BoundSocket binds a loopback port that the kernel chooses.
-int BoundSocket(int type, uint16_t& port) {
-  const int descriptor = socket(AF_INET, type, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  if (bind(descriptor, generic, size) != 0) {
-    close(descriptor);
-    return -1;
-  }
-  getsockname(descriptor, generic, &size);
-  port = ntohs(address.sin_port);
-  return descriptor;
-}
-
-// FreePort returns a port that is free for TCP and UDP.
-uint16_t FreePort() {
-  while (true) {
-    uint16_t port = 0;
-    const int stream = BoundSocket(SOCK_STREAM, port);
-    const int datagram = BoundSocket(SOCK_DGRAM, port);
-    close(stream);
-    if (datagram < 0) continue;
-    close(datagram);
-    return port;
-  }
-}
-
 int Connect(uint16_t port) {
   const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
   const timeval limit{.tv_sec = 3, .tv_usec = 0};
@@ -128,7 +99,8 @@
         (std::filesystem::temp_directory_path() / "controlXXXXXX").string();
     this->folder = mkdtemp(pattern.data());
     for (const char* name : {"c1", "c2", "c3"}) {
-      this->instances.push_back({name, FreePort(), FreePort()});
+      this->instances.push_back(
+          {name, testing::FreePort(), testing::FreePort()});
     }
     for (Instance& instance : this->instances) this->Start(instance);
   }
