List a service once in /v1/models

Cause: read as a newcomer, the listing named a service once a region and held a variable that nothing used. Ruled out: comparing with the last name, since pools are ordered by region first.

--- a/samphirebank/router/callers.cc
+++ b/samphirebank/router/callers.cc
@@ -1,6 +1,7 @@
 #include "samphirebank/router/internal/callers.h"
 
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -49,12 +50,15 @@
 // Models are the services that have a scheduler and that the contract allows.
 void ReplyModels(const Router& router, net::ServerStream& stream,
                  const contracts::Contract& contract) {
-  json list = json::array();
-  std::string last;
+  // A service may have a pool in each region; it is listed once.
+  std::set<ServiceId> services;
   for (const auto& [pool, record] : router.holder.history.configuration.pools) {
-    const std::string& name = pool.service.value;
     if (ingress::CheckContract(contract, pool.service, pool.region)) continue;
-    list.push_back({{"id", name}, {"object", "model"}});
+    services.insert(pool.service);
+  }
+  json list = json::array();
+  for (const ServiceId& service : services) {
+    list.push_back({{"id", service.value}, {"object", "model"}});
   }
   stream.Reply({.body = json({{"object", "list"}, {"data", list}}).dump()});
 }
