--- a/samphirebank/testing/processes.cc
+++ b/samphirebank/testing/processes.cc
@@ -144,7 +144,7 @@
   text += "content-length: " + std::to_string(call.body.size()) + "\r\n\r\n" +
           call.body;
   const int connection = socket(AF_INET, SOCK_STREAM, 0);
-  const timeval limit{.tv_sec = kGiveUp.count(), .tv_usec = 0};
+  const timeval limit{.tv_sec = call.answer_seconds, .tv_usec = 0};
   setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
   const sockaddr_in to = Loopback(port);
   connect(connection, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
--- a/samphirebank/testing/processes.h
+++ b/samphirebank/testing/processes.h
@@ -60,6 +60,7 @@
   std::string path;
   std::vector<std::string> headers = {};  // "name: value"
   std::string body = {};
+  int answer_seconds = 30;  // the longest silence that End waits for
 };
 
 // Reply is what came back; status 0 without a head.
