--- a/samphirebank/control/control.cc
+++ b/samphirebank/control/control.cc
@@ -11,6 +11,9 @@
 namespace samphirebank::control {
 
 int RunControl(const settings::ControlSettings& settings) {
+  // A write beyond the limit on the size of files then fails like one on a
+  // full disk, instead of ending the process.
+  std::signal(SIGXFSZ, SIG_IGN);
   try {
     net::Loop loop;
     Server server(loop, settings);
--- a/samphirebank/storage/real_files.cc
+++ b/samphirebank/storage/real_files.cc
@@ -20,7 +20,7 @@
 
 leaf::error_id Fail(const std::string& file, const char* operation) {
   const int code = errno;
-  const bool full = code == ENOSPC || code == EDQUOT;
+  const bool full = code == ENOSPC || code == EDQUOT || code == EFBIG;
   return leaf::new_error(
       Error{.kind = full ? ErrorKind::kFull : ErrorKind::kInputOutput,
             .file = file,
