Give each test port once

FreePort let the kernel choose a port and closed it, so two calls could get the same one, and an outgoing connection could take it before the server did.

Ruled out: a slow machine. The test waited 30 s for a router that had ended, and the other four cases of the same binary passed.

Now ports lie below those that the kernel gives to outgoing connections, and each is reserved by a socket of the abstract namespace for as long as the test process lives.

--- a/samphirebank/testing/processes.cc
+++ b/samphirebank/testing/processes.cc
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <spawn.h>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -24,6 +25,11 @@
 constexpr seconds kGiveUp(30);
 constexpr milliseconds kTryAgain(20);
 
+// Below the ports that the kernel gives to outgoing connections.
+constexpr int kPortBegin = 12'000;
+constexpr int kPortEnd = 32'000;
+constexpr int kPortStride = 101;
+
 sockaddr_in Loopback(uint16_t port) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -32,19 +38,31 @@
   return address;
 }
 
-// Bind binds a loopback port; the kernel chooses it when `port` is 0.
-int Bind(int type, uint16_t& port) {
+// CanBind tells whether no other socket is bound to a loopback port.
+bool CanBind(int type, uint16_t port) {
   const int descriptor = socket(AF_INET, type, 0);
-  sockaddr_in address = Loopback(port);
-  socklen_t size = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  if (bind(descriptor, generic, size) != 0) {
-    close(descriptor);
-    return -1;
+  const sockaddr_in address = Loopback(port);
+  const int failed = bind(
+      descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  close(descriptor);
+  return failed == 0;
+}
+
+// Reserve takes a port for the life of this process, and tells whether it was
+// still to be had. The mark is a socket in the abstract namespace of the
+// kernel, which goes with the process.
+bool Reserve(uint16_t port) {
+  const std::string name = "samphirebank-test-port-" + std::to_string(port);
+  sockaddr_un address{};
+  address.sun_family = AF_UNIX;
+  name.copy(address.sun_path + 1, sizeof(address.sun_path) - 1);
+  const int descriptor = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
+           sizeof(address)) == 0) {
+    return true;
   }
-  getsockname(descriptor, generic, &size);
-  port = ntohs(address.sin_port);
-  return descriptor;
+  close(descriptor);
+  return false;
 }
 
 // Pointers returns what posix_spawn wants; `words` stays the owner.
@@ -88,15 +106,17 @@
 }  // namespace
 
 uint16_t FreePort() {
-  for (;;) {
-    uint16_t port = 0;
-    const int stream = Bind(SOCK_STREAM, port);
-    const int datagram = Bind(SOCK_DGRAM, port);
-    close(stream);
-    if (datagram < 0) continue;
-    close(datagram);
-    return port;
+  constexpr int kPorts = kPortEnd - kPortBegin;
+  // Processes started together begin apart.
+  const int start = static_cast<int>(getpid() * kPortStride % kPorts);
+  for (int i = 0; i < kPorts; ++i) {
+    const auto port = static_cast<uint16_t>(kPortBegin + (start + i) % kPorts);
+    if (Reserve(port) && CanBind(SOCK_STREAM, port) &&
+        CanBind(SOCK_DGRAM, port)) {
+      return port;
+    }
   }
+  throw std::runtime_error("no free port");
 }
 
 Folder::Folder() {
--- a/samphirebank/testing/processes.h
+++ b/samphirebank/testing/processes.h
@@ -20,7 +20,8 @@
 
 namespace samphirebank::testing {
 
-// FreePort returns a port that is free for TCP and UDP.
+// FreePort returns a port that is free for TCP and UDP. No other call, of this
+// or another test process, returns it again while this process lives.
 uint16_t FreePort();
 
 // Folder is a temporary folder that goes with the object.
