Log a full disk, go on logging after it, and answer undecided changes

Three things that the test of full disks showed: - Nothing in the log said that a disk was full: events 609 and 610. - Once they were logged, nothing was logged any more after the disk had room again ("change-0" not found in any log file): the stream of the log file keeps its failure, and Boost.Log writes only to a good stream. The failure is cleared before each line; the same check passes. - A change that the disk refused after it was in the log got no answer at all until the disk had room (status 0 after the test's 3 s). It now gets 504, outcome unknown, after 2 s without a decision; the test takes 507 or 504 only.

--- a/samphirebank/control/consensus_replication.cc
+++ b/samphirebank/control/consensus_replication.cc
@@ -30,6 +30,8 @@
 constexpr Duration kElectionTimeout = milliseconds(750);
 constexpr Duration kFullRetry = milliseconds(500);
 constexpr size_t kKeptResults = 8192;
+// A proposal is decided by then, unless a quorum or its disks are lost.
+constexpr Duration kDecisionLimit = std::chrono::seconds(2);
 
 uint64_t RandomNumber() {
   uint64_t number = 0;
@@ -85,6 +87,7 @@
   this->loop.Every(kTickPeriod, [this] {
     this->TryBootstrap();
     this->Step(consensus::Tick{});
+    this->GiveUpProposals(net::Loop::Now());
   });
 }
 
@@ -171,8 +174,16 @@
   auto result = this->results.extract(answer.first_index);
   const bool has_result =
       answer.outcome == consensus::Outcome::kCommitted && !result.empty();
-  proposal.mapped()(ResultOf(answer.outcome),
-                    has_result ? result.mapped() : Applied());
+  proposal.mapped().done(ResultOf(answer.outcome),
+                         has_result ? result.mapped() : Applied());
+}
+
+void ConsensusReplication::GiveUpProposals(TimePoint now) {
+  while (!this->proposals.empty() &&
+         this->proposals.begin()->second.give_up <= now) {
+    auto oldest = this->proposals.extract(this->proposals.begin());
+    oldest.mapped().done(ProposalResult::kUnknown, Applied());
+  }
 }
 
 void ConsensusReplication::ScheduleFlush(Duration delay) {
@@ -200,6 +211,8 @@
   if (!flushed) return this->hooks.on_failure(failure);
   if (flushed->full != this->disk_full) {
     this->disk_full = flushed->full;
+    events::Log({.number = flushed->full ? events::Number::kDiskFull
+                                         : events::Number::kDiskWritable});
     this->Step(consensus::StorageFull{.full = flushed->full});
   }
   if (flushed->full) this->ScheduleFlush(kFullRetry);
@@ -235,7 +248,8 @@
 
 void ConsensusReplication::Propose(std::string entry, ProposalDone done) {
   const consensus::ProposalTag tag(this->next_tag++);
-  this->proposals[tag] = std::move(done);
+  this->proposals[tag] = {.done = std::move(done),
+                          .give_up = net::Loop::Now() + kDecisionLimit};
   consensus::Propose event{.tag = tag};
   event.commands.push_back(std::move(entry));
   this->Step(event);
--- a/samphirebank/control/internal/consensus_replication.h
+++ b/samphirebank/control/internal/consensus_replication.h
@@ -52,6 +52,11 @@
     TimePoint give_up;
     ReplaceDone done;
   };
+  // Proposal waits for its outcome; after `give_up` that is unknown.
+  struct Proposal {
+    ProposalDone done;
+    TimePoint give_up;
+  };
   using MembershipDone = std::function<void(consensus::Outcome)>;
 
   void OpenStorage();
@@ -59,6 +64,7 @@
   void Perform(consensus::Actions actions);
   void Apply(const std::vector<consensus::Entry>& entries);
   void Answer(const consensus::ProposalAnswer& answer);
+  void GiveUpProposals(TimePoint now);
   void ScheduleFlush(Duration delay);
   void Flush();
   void TakeSnapshot();
@@ -77,7 +83,7 @@
   LogIndex applied;
   std::map<LogIndex, Applied> results;  // of the newest applied entries
   uint64_t next_tag = 1;
-  std::map<consensus::ProposalTag, ProposalDone> proposals;
+  std::map<consensus::ProposalTag, Proposal> proposals;
   std::map<consensus::ProposalTag, MembershipDone> changes;
   std::map<consensus::RoundTag, RoundDone> rounds;
   bool flush_scheduled = false;
--- a/samphirebank/events/catalogue.cc
+++ b/samphirebank/events/catalogue.cc
@@ -72,6 +72,8 @@
       {Number::kLogRecovered, "log-recovered", kInfo, "The durable state was read at start.", {"count", "revision", "term", "duration_ms"}},
       {Number::kTornTailDropped, "torn-tail-dropped", kWarning, "An unfinished write at the log's end was dropped.", {"bytes", "detail"}},
       {Number::kStorageFailed, "storage-failed", kError, "The data folder failed; the process ends.", {"detail"}},
+      {Number::kDiskFull, "disk-full", kError, "The data folder takes no more writes; changes are refused until it does.", {}},
+      {Number::kDiskWritable, "disk-writable", kInfo, "The data folder takes writes again.", {}},
 
       {Number::kClaimGranted, "claim-granted", kInfo, "A call that may run once may be sent.", {"request", "organisation", "count"}},
       {Number::kClaimReplayed, "claim-replayed", kInfo, "A call was repeated and got the recorded answer.", {"request", "organisation", "outcome"}},
--- a/samphirebank/events/events.h
+++ b/samphirebank/events/events.h
@@ -84,6 +84,8 @@
   kLogRecovered = 606,
   kTornTailDropped = 607,
   kStorageFailed = 608,
+  kDiskFull = 609,
+  kDiskWritable = 610,
 
   kClaimGranted = 700,
   kClaimReplayed = 701,
--- a/samphirebank/events/log.cc
+++ b/samphirebank/events/log.cc
@@ -24,6 +24,7 @@
   Source source;
   Severity lowest = Severity::kInfo;
   Clock clock;
+  boost::shared_ptr<std::ostream> stream;
   boost::shared_ptr<Sink> sink;
   logging::sources::logger logger;
 };
@@ -54,12 +55,14 @@
 void Open(const LogOptions& options) {
   Close();
   auto backend = boost::make_shared<Backend>();
-  backend->add_stream(OpenStream(options.file));
+  const boost::shared_ptr<std::ostream> stream = OpenStream(options.file);
+  backend->add_stream(stream);
   backend->auto_flush(true);
   Process& process = Current();
   process.source = Source{
       .instance = options.instance, .role = options.role, .boot = options.boot};
   process.lowest = options.lowest;
+  process.stream = stream;
   process.sink = boost::make_shared<Sink>(backend);
   logging::core::get()->add_sink(process.sink);
 }
@@ -70,6 +73,8 @@
   const Kind* kind = FindKind(event.number);
   const bool wanted = kind == nullptr || kind->severity >= process.lowest;
   if (process.sink == nullptr || !wanted) return;
+  // A stream that failed, on a full disk say, is tried again each time.
+  process.stream->clear();
   BOOST_LOG(process.logger) << EventLine(process.source, stamp, event);
 }
 
@@ -84,6 +89,7 @@
   if (process.sink == nullptr) return;
   logging::core::get()->remove_sink(process.sink);
   process.sink.reset();
+  process.stream.reset();
 }
 
 }  // namespace samphirebank::events
