Get the operator's command past a silent control instance

Cause: the command gave one server its whole timeout. With the leader frozen (SIGSTOP), `contract put` asked it, or followed a follower's redirect to it, and ended without an outcome.

A server that is silent for 1 s is now passed over for a while, also when followers still name it as the leader; a leader that was just named is asked at once instead of after 200 ms; and the wait until a change is in force is spent in the command, which then sends the change again, so that no connection that went silent can hold it up.

--- a/samphirebank/control/faults_process_test.cc
+++ b/samphirebank/control/faults_process_test.cc
@@ -274,5 +274,25 @@
   group.CheckContracts(kChanges + 2);
 }
 
+TEST_CASE("the operator's command gets past a frozen leader") {
+  ControlGroup group(SAMPHIREBANK_BINARY);
+  ControlInstance& leader = group.Leader();
+  const std::string file = group.folder() + "/guides.json";
+  std::ofstream(file) << R"({"organisation":"guides"})";
+  std::vector<std::string> words = {
+      SAMPHIREBANK_BINARY, "contract",     "put",   file,
+      "--change-id=put-1", "--if-match=0", "--wait"};
+  std::vector<ControlInstance*> order = group.Others(leader);
+  order.insert(order.begin(), &leader);
+  for (const ControlInstance* one : order) {
+    words.push_back("--server=127.0.0.1:" + std::to_string(one->operator_port));
+  }
+  ControlGroup::Freeze(leader);
+  testing::Process command(words, ControlGroup::Environment());
+  CHECK(command.Wait() == 0);
+  ControlGroup::Thaw(leader);
+  group.CheckContracts(1);
+}
+
 }  // namespace
 }  // namespace samphirebank::control
--- a/samphirebank/operators/exchange.cc
+++ b/samphirebank/operators/exchange.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <memory>
 #include <nlohmann/json.hpp>
 
@@ -7,6 +8,8 @@
 namespace {
 
 constexpr Duration kRetryPause = std::chrono::milliseconds(200);
+// After the silence limit these tries take longer than an election.
+constexpr int kSkips = 8;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 constexpr int kUnknownOutcome = 504;
@@ -44,13 +47,17 @@
         {"authorization", "Bearer " + this->settings.operator_token.value});
     headers.push_back({"content-type", "application/json"});
     auto answer = std::make_shared<ApiReply>();
+    const net::SocketAddress server = NextServer(this->plan);
+    const Duration limit =
+        std::min(this->request.silence_limit, this->settings.timeout);
     this->loop.Call(
-        {.to = NextServer(this->plan),
+        {.to = server,
          .method = this->request.method,
          .path = this->request.path,
          .headers = std::move(headers),
          .body = this->request.body,
-         .first_byte_timeout = this->settings.timeout,
+         .connect_timeout = limit,
+         .first_byte_timeout = limit,
          .on_head =
              [answer](int status, const std::vector<net::Header>&) {
                answer->status = status;
@@ -58,8 +65,8 @@
          .on_data = [answer](std::string_view piece) { answer->body += piece; },
          .on_end = [this, answer] { this->OnReply(*answer); },
          .on_error =
-             [this](const net::CallError& error) {
-               this->plan.leader.reset();
+             [this, server](const net::CallError& error) {
+               NoteSilent(this->plan, server);
                if (this->reply.status == 0) this->reply.fault = error.detail;
                this->TryLater();
              }});
@@ -69,6 +76,14 @@
     this->reply = answer;
     if (TakeReply(this->plan, answer)) {
       this->loop.Stop();
+      return;
+    }
+    // A leader that was just named is asked at once, but two servers that name
+    // each other are asked in peace.
+    const bool follow = this->plan.leader && !this->followed;
+    this->followed = follow;
+    if (follow) {
+      this->Try();
     } else {
       this->TryLater();
     }
@@ -82,19 +97,36 @@
   const ApiRequest& request;
   Plan plan;
   ApiReply reply;
+  bool followed = false;
   net::Loop loop;
 };
 
 }  // namespace
 
+void NoteSilent(Plan& plan, const net::SocketAddress& server) {
+  plan.leader.reset();
+  plan.silent = server;
+  plan.skips = kSkips;
+}
+
 net::SocketAddress NextServer(Plan& plan) {
   if (plan.leader) return *plan.leader;
-  return plan.servers[plan.next++ % plan.servers.size()];
+  const size_t count = plan.servers.size();
+  net::SocketAddress server = plan.servers[plan.next++ % count];
+  if (server == plan.silent && plan.skips > 0 && count > 1) {
+    --plan.skips;
+    server = plan.servers[plan.next++ % count];
+  }
+  return server;
 }
 
 bool TakeReply(Plan& plan, const ApiReply& reply) {
   if (reply.status == kMisdirected) {
     plan.leader = LeaderOf(reply.body);
+    if (plan.leader && plan.leader == plan.silent && plan.skips > 0) {
+      --plan.skips;
+      plan.leader.reset();
+    }
     return false;
   }
   plan.leader.reset();
--- a/samphirebank/operators/internal/client.h
+++ b/samphirebank/operators/internal/client.h
@@ -11,6 +11,7 @@
 #ifndef SAMPHIREBANK_OPERATORS_INTERNAL_CLIENT_H_
 #define SAMPHIREBANK_OPERATORS_INTERNAL_CLIENT_H_
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,6 +29,8 @@
   std::string path;
   std::vector<net::Header> headers;  // without the credentials
   std::string body;
+  // A server that is silent for longer is left for another one.
+  Duration silence_limit = std::chrono::seconds(1);
 };
 
 // ApiReply is the last answer that came.
@@ -57,8 +60,14 @@
   std::vector<net::SocketAddress> servers;
   size_t next = 0;
   std::optional<net::SocketAddress> leader;  // as a follower named it
+  std::optional<net::SocketAddress> silent;  // gave no answer in time
+  int skips = 0;  // how often `silent` is still passed over
 };
 
+// NoteSilent passes a server over for a while, also when followers still name
+// it as the leader: they find the next one meanwhile.
+void NoteSilent(Plan& plan, const net::SocketAddress& server);
+
 // NextServer returns the leader that was named, else the servers in turn.
 net::SocketAddress NextServer(Plan& plan);
 
@@ -71,6 +80,10 @@
 ApiReply Exchange(const settings::OperatorSettings& settings,
                   const ApiRequest& request);
 
+// WaitFor returns how long an accepted change still needs until it is in force;
+// nothing if the reply accepts nothing.
+std::optional<Duration> WaitFor(const ApiReply& reply);
+
 // ServerStatus is what one control instance says of the fleet.
 struct ServerStatus {
   net::SocketAddress address;
--- a/samphirebank/operators/operators.cc
+++ b/samphirebank/operators/operators.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <iterator>
 #include <random>
+#include <thread>
 #include <vector>
 
 #include "samphirebank/operators/internal/client.h"
@@ -82,6 +83,18 @@
   return last;
 }
 
+// Change sends a change. Its wait is spent here rather than on a connection
+// that may go silent; then the same change is sent again, whoever leads by now.
+ApiReply Change(const OperatorSettings& settings, const std::string& contract) {
+  OperatorSettings first = settings;
+  first.wait_in_force = false;
+  const ApiReply accepted = Exchange(first, RequestOf(first, contract));
+  const std::optional<Duration> left = WaitFor(accepted);
+  if (!settings.wait_in_force || !left) return accepted;
+  std::this_thread::sleep_for(*left);
+  return Exchange(settings, RequestOf(settings, contract));
+}
+
 }  // namespace
 
 int RunOperator(const OperatorSettings& given) {
@@ -107,7 +120,7 @@
     settings.if_match = ReadRevision(settings, organisation);
     if (!settings.if_match) return kExitRefused;
   }
-  return Print(settings, Exchange(settings, RequestOf(settings, contract)));
+  return Print(settings, Change(settings, contract));
 }
 
 }  // namespace samphirebank::operators
--- a/samphirebank/operators/operators_test.cc
+++ b/samphirebank/operators/operators_test.cc
@@ -40,6 +40,27 @@
   CHECK(TakeReply(plan, {.status = 409}));
 }
 
+TEST_CASE("a silent leader is passed over while followers still name it") {
+  const net::SocketAddress first{.ip = "127.0.0.1", .port = 1};
+  const net::SocketAddress second{.ip = "127.0.0.1", .port = 2};
+  const ApiReply names_first{.status = 421,
+                             .body = R"({"leader": "127.0.0.1:1"})"};
+  Plan plan{.servers = {first, second}};
+  CHECK(NextServer(plan) == first);
+  NoteSilent(plan, first);
+  for (int i = 0; i < 4; ++i) {
+    CHECK(NextServer(plan) == second);
+    CHECK(!TakeReply(plan, names_first));
+  }
+  // In the end it is asked again: the silence may have been of one connection.
+  bool asked_again = false;
+  for (int i = 0; i < 8 && !asked_again; ++i) {
+    asked_again = NextServer(plan) == first;
+    CHECK(!TakeReply(plan, names_first));
+  }
+  CHECK(asked_again);
+}
+
 TEST_CASE("a refusal lists all findings, a table its rows") {
   const std::string text = ProblemText(
       {.status = 422,
--- a/samphirebank/operators/request.cc
+++ b/samphirebank/operators/request.cc
@@ -75,6 +75,9 @@
   const bool waits =
       settings.wait_in_force && settings.verb != OperatorVerb::kControlReplace;
   if (waits) request.path += "?wait=in-force";
+  if (settings.verb == OperatorVerb::kControlReplace) {
+    request.silence_limit = settings.timeout;  // it answers when all is done
+  }
   return request;
 }
 
@@ -100,4 +103,13 @@
   return Revision(json["revision"].get<uint64_t>());
 }
 
+std::optional<Duration> WaitFor(const ApiReply& reply) {
+  if (reply.status != 200) return std::nullopt;
+  const auto json = nlohmann::json::parse(reply.body, nullptr, false);
+  const bool stated = json.is_object() && json.contains("in_force_after_ms") &&
+                      json["in_force_after_ms"].is_number_integer();
+  if (!stated) return std::nullopt;
+  return std::chrono::milliseconds(json["in_force_after_ms"].get<int64_t>());
+}
+
 }  // namespace samphirebank::operators
