--- a/samphirebank/control/process_test.cc
+++ b/samphirebank/control/process_test.cc
@@ -29,16 +29,20 @@
   std::vector<int> connections;
   connections.reserve(5);
   for (int i = 0; i < 5; ++i) {
-    connections.push_back(leader.Begin(PutContract(i, "org")));
+    OperatorRequest put = PutContract(i, "org");
+    put.author = "operator-" + std::to_string(i);
+    connections.push_back(leader.Begin(put));
   }
   int won = 0;
   std::string winner;
+  std::string author;
   std::vector<Reply> lost;
   for (int i = 0; i < 5; ++i) {
     const Reply reply = End(connections[static_cast<size_t>(i)]);
     if (reply.status == 200) {
       ++won;
       winner = "change-" + std::to_string(i);
+      author = "operator-" + std::to_string(i);
     } else {
       lost.push_back(reply);
     }
@@ -47,6 +51,7 @@
   for (const Reply& reply : lost) {
     CHECK(reply.status == 409);
     CHECK(JsonOf(reply)["winner"]["change"] == winner);
+    CHECK(JsonOf(reply)["winner"]["operator"] == author);
   }
 }
 
--- a/samphirebank/operators/operators_test.cc
+++ b/samphirebank/operators/operators_test.cc
@@ -12,6 +12,7 @@
 TEST_CASE("a change names its id, the revision and the wait") {
   const ApiRequest put = RequestOf({.verb = OperatorVerb::kContractPut,
                                     .change_id = ChangeId("c1"),
+                                    .author = "ana",
                                     .if_match = Revision(4),
                                     .wait_in_force = true},
                                    R"({"organisation": "dune"})");
@@ -19,6 +20,7 @@
   CHECK(put.path == "/operator/v1/contracts/dune?wait=in-force");
   CHECK(net::FindHeader(put.headers, "change-id") == "c1");
   CHECK(net::FindHeader(put.headers, "if-match") == "4");
+  CHECK(net::FindHeader(put.headers, "operator") == "ana");
   const ApiRequest stop =
       RequestOf({.verb = OperatorVerb::kTargetStop, .subject = "t1"}, "");
   CHECK(stop.path == "/operator/v1/targets/t1");
--- a/samphirebank/operators/request.cc
+++ b/samphirebank/operators/request.cc
@@ -68,6 +68,9 @@
   ApiRequest request = BareRequest(settings, contract);
   if (!IsChange(settings.verb)) return request;
   request.headers.push_back({"change-id", settings.change_id.value});
+  if (!settings.author.empty()) {
+    request.headers.push_back({"operator", settings.author});
+  }
   if (settings.if_match) {
     request.headers.push_back(
         {"if-match", std::to_string(settings.if_match->value)});
--- a/samphirebank/settings/operators.cc
+++ b/samphirebank/settings/operators.cc
@@ -48,6 +48,8 @@
                "the id of this change; give the same one to resend a change "
                "whose answer was lost",
                &into->change_id),
+      NameFlag("operator", "who makes the change, for others who lose a race",
+               &into->author),
       Flag{.name = "if-match",
            .argument = "REVISION",
            .help = "refuse unless the record is still at this revision; 0: "
--- a/samphirebank/settings/settings.h
+++ b/samphirebank/settings/settings.h
@@ -136,6 +136,7 @@
   std::string subject =
       {};  // a contract file, an organisation, a target, a member
   ChangeId change_id = {};  // empty: a fresh one
+  std::string author = {};  // whom others are told of
   std::optional<Revision> if_match = {};
   bool wait_in_force = false;
   bool json = false;
--- a/samphirebank/testing/control_group.cc
+++ b/samphirebank/testing/control_group.cc
@@ -41,6 +41,9 @@
   if (!request.expected.empty()) {
     call.headers.push_back("if-match: " + request.expected);
   }
+  if (!request.author.empty()) {
+    call.headers.push_back("operator: " + request.author);
+  }
   return testing::Begin(this->operator_port, call);
 }
 
--- a/samphirebank/testing/control_group.h
+++ b/samphirebank/testing/control_group.h
@@ -29,6 +29,7 @@
   std::string change = {};
   std::string expected = {};
   std::string body = {};
+  std::string author = {};
 };
 
 // PutContract writes a new contract; the change's id follows from `number`.
