Let only its holder give up a pool

Cause: kPoolRequest.failed was taken over from any router that knows the fleet key, for any epoch. A router with an old view, or with a fault, could thus take a pool from another router, again and again, and an epoch named too early took effect later. The request now names its asker, who must be the sender (a control follower passes it on unchanged), and `failed` counts only from the holder of the very epoch that stands.

--- a/samphirebank/assignment/assignment.cc
+++ b/samphirebank/assignment/assignment.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -66,6 +67,16 @@
 
 }  // namespace
 
+void NoteRequest(Wanted& wanted, const contracts::Configuration& configuration,
+                 const PoolRequest& request) {
+  Epoch& failed = wanted[request.pool];
+  const auto standing = configuration.pools.find(request.pool);
+  const bool is_holder = standing != configuration.pools.end() &&
+                         standing->second.value.holder == request.asker &&
+                         standing->second.value.epoch == request.failed;
+  if (is_holder) failed = std::max(failed, request.failed);
+}
+
 std::vector<contracts::AssignScheduler> Plan(
     const contracts::Configuration& configuration, const Registry& registry,
     const Wanted& wanted, const Options& options, TimePoint now) {
--- a/samphirebank/assignment/assignment.h
+++ b/samphirebank/assignment/assignment.h
@@ -28,14 +28,14 @@
 struct PoolRequest {
   static constexpr wire::Kind kKind = wire::Kind::kPoolRequest;
   PoolId pool;
-  // failed is the epoch whose holder has not answered the sender; 0 if the
-  // pool has no scheduler. A holder that lost its memory names its own epoch
-  // and gets the pool again under the next one.
+  // failed is 0 if the pool has no scheduler. A holder that lost its memory
+  // names its own epoch and gets the pool again under the next one.
   Epoch failed;
+  InstanceId asker;  // also when a control follower passes the request on
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(pool, failed);
+    archive(pool, failed, asker);
   }
 };
 
@@ -43,6 +43,11 @@
 // a holder named itself (0: none).
 using Wanted = std::map<PoolId, Epoch>;
 
+// NoteRequest takes a request in. Only the holder of an epoch may say that it
+// failed; from anybody else the request says only that the pool is wanted.
+void NoteRequest(Wanted& wanted, const contracts::Configuration& configuration,
+                 const PoolRequest& request);
+
 // Options of the decision.
 struct Options {
   TimePoint since;  // when this leader took office
--- a/samphirebank/assignment/assignment_test.cc
+++ b/samphirebank/assignment/assignment_test.cc
@@ -117,11 +117,32 @@
   Fixture fixture;
   Hear(fixture.registry, "a", At(100));
   fixture.Run(100);
-  fixture.wanted[kPool] = Epoch(1);
+  PoolRequest request{
+      .pool = kPool, .failed = Epoch(1), .asker = InstanceId("a")};
+  NoteRequest(fixture.wanted, fixture.configuration, request);
   CHECK(fixture.Run(100) == 1);
   CHECK(fixture.standing().epoch == Epoch(2));
   CHECK(fixture.Run(100) == 0);
 }
 
+TEST_CASE("nobody gives up a pool for its holder") {
+  Fixture fixture;
+  Hear(fixture.registry, "a", At(100));
+  fixture.Run(100);
+  Hear(fixture.registry, "b", At(100));
+  for (const uint64_t epoch : {1, 2, 9}) {
+    PoolRequest request{
+        .pool = kPool, .failed = Epoch(epoch), .asker = InstanceId("b")};
+    NoteRequest(fixture.wanted, fixture.configuration, request);
+    CHECK(fixture.Run(100) == 0);
+  }
+  // Nor does a holder for an epoch that is still to come.
+  PoolRequest early{
+      .pool = kPool, .failed = Epoch(2), .asker = InstanceId("a")};
+  NoteRequest(fixture.wanted, fixture.configuration, early);
+  fixture.configuration.pools[kPool].value.epoch = Epoch(2);
+  CHECK(fixture.Run(100) == 0);
+}
+
 }  // namespace
 }  // namespace samphirebank::assignment
--- a/samphirebank/control/internal/server.h
+++ b/samphirebank/control/internal/server.h
@@ -56,7 +56,7 @@
   void OnPacket(const net::SocketAddress& from, std::string_view message);
   void OnConfigPoll(const wire::Packet& packet);
   void OnConfigUpdate(const wire::Packet& packet);
-  void OnPoolRequest(const wire::Packet& packet);
+  void OnPoolRequest(const wire::Opened& opened);
   void OnClaimRequest(const wire::Opened& opened);
   void ProposeClaim(const claims::Command& command);
   void SendTo(const net::SocketAddress& to, wire::Packet packet);
--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -206,7 +206,7 @@
             this->OnConfigUpdate(opened.packet);
             break;
           case wire::Kind::kPoolRequest:
-            this->OnPoolRequest(opened.packet);
+            this->OnPoolRequest(opened);
             break;
           case wire::Kind::kClaimRequest:
             this->OnClaimRequest(opened);
@@ -251,12 +251,17 @@
   lease::OnUpdate(this->holder, proof_only, net::Loop::Now());
 }
 
-void Server::OnPoolRequest(const wire::Packet& packet) {
-  if (!this->replication->leads()) return this->ForwardToLeader(packet);
-  const auto request = Decoded<assignment::PoolRequest>(packet);
+void Server::OnPoolRequest(const wire::Opened& opened) {
+  const auto request = Decoded<assignment::PoolRequest>(opened.packet);
   if (!request) return;
-  Epoch& failed = this->wanted[request->pool];
-  failed = std::max(failed, request->failed);
+  const bool is_asker = request->asker == opened.from;
+  if (!is_asker && !this->IsMember(opened.from)) return;
+  if (!this->replication->leads()) {
+    if (is_asker) this->ForwardToLeader(opened.packet);
+    return;
+  }
+  assignment::NoteRequest(
+      this->wanted, this->state.contracts.history.configuration, *request);
 }
 
 void Server::OnClaimRequest(const wire::Opened& opened) {
--- a/samphirebank/router/pools.cc
+++ b/samphirebank/router/pools.cc
@@ -46,8 +46,11 @@
   TimePoint& asked = router.pool_asked[pool];
   if (asked != TimePoint() && now - asked < kAskPoolInterval) return;
   asked = now;
-  SendMessage(router, ControlAddress(router),
-              assignment::PoolRequest{.pool = pool, .failed = failed});
+  SendMessage(
+      router, ControlAddress(router),
+      assignment::PoolRequest{.pool = pool,
+                              .failed = failed,
+                              .asker = router.settings.identity.instance});
 }
 
 void SendDemands(Router& router, TimePoint now) {
