Export control's series by the metrics library

control wrote its /metrics by hand, without help lines. The series keep their names; control_disk_full is new, and the test of full disks reads it.

--- a/samphirebank/control/faults_process_test.cc
+++ b/samphirebank/control/faults_process_test.cc
@@ -166,6 +166,10 @@
     std::this_thread::sleep_for(milliseconds(100));
   }
   CHECK(refused > 0);
+  const Reply metrics =
+      testing::Ask(group.Leader().operator_port, {.path = "/metrics"});
+  CHECK(metrics.body.find("samphirebank_control_disk_full 1\n") !=
+        std::string::npos);
   group.CheckContracts(1);
 
   for (const ControlInstance& one : group.instances) {
--- a/samphirebank/control/internal/consensus_replication.h
+++ b/samphirebank/control/internal/consensus_replication.h
@@ -34,6 +34,7 @@
   bool leads() const override {
     return this->state.role == consensus::Role::kLeader;
   }
+  bool disk_is_full() const override { return this->disk_full; }
   std::optional<InstanceId> leader() const override {
     if (!this->state.leader) return std::nullopt;
     return this->state.leader->instance;
--- a/samphirebank/control/internal/replication.h
+++ b/samphirebank/control/internal/replication.h
@@ -69,6 +69,7 @@
   virtual void OnMessage(const wire::Opened& opened) = 0;
 
   virtual bool leads() const = 0;
+  virtual bool disk_is_full() const = 0;
   virtual std::optional<InstanceId> leader() const = 0;
   virtual Term term() const = 0;
   virtual LogIndex last_index() const = 0;
--- a/samphirebank/control/internal/server.h
+++ b/samphirebank/control/internal/server.h
@@ -13,6 +13,7 @@
 
 #include "samphirebank/assignment/assignment.h"
 #include "samphirebank/control/internal/in_force.h"
+#include "samphirebank/control/internal/metrics.h"
 #include "samphirebank/control/internal/operator_api.h"
 #include "samphirebank/control/internal/replicated_state.h"
 #include "samphirebank/control/internal/replication.h"
@@ -23,13 +24,6 @@
 
 namespace samphirebank::control {
 
-// PeerTraffic counts messages between instances since the start.
-struct PeerTraffic {
-  uint64_t packets_sent = 0;
-  uint64_t bytes_sent = 0;
-  uint64_t bytes_received = 0;
-};
-
 // Server is one control instance. It belongs to the loop's thread.
 class Server {
  public:
@@ -76,7 +70,7 @@
   void OnRequest(const std::shared_ptr<net::ServerStream>& stream);
   void Handle(const std::shared_ptr<net::ServerStream>& stream,
               const std::string& body);
-  net::Response Metrics() const;
+  net::Response MetricsText();
   net::Response Ready() const;
   void Write(const std::shared_ptr<net::ServerStream>& stream,
              const OperatorCall& call);
@@ -104,7 +98,7 @@
   TimePoint last_claim;  // this leader's newest claims entry
   uint64_t own_changes = 0;
   bool has_failed = false;
-  PeerTraffic traffic;
+  Metrics metrics;
 };
 
 }  // namespace samphirebank::control
--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -189,7 +189,7 @@
 
 void Server::OnPacket(const net::SocketAddress& /*from*/,
                       std::string_view message) {
-  this->traffic.bytes_received += message.size();
+  this->metrics.packet_bytes_received.Add(message.size());
   wire::leaf::try_handle_all(
       [&]() -> wire::leaf::result<void> {
         BOOST_LEAF_AUTO(opened, this->opener.Open(message));
@@ -299,8 +299,8 @@
   packet.clock_ms = stamp.wall_ms;
   packet.clock_logical = stamp.logical;
   const std::string bytes = this->sealer.Seal(packet);
-  this->traffic.packets_sent += 1;
-  this->traffic.bytes_sent += bytes.size();
+  this->metrics.packets_sent.Add(1);
+  this->metrics.packet_bytes_sent.Add(bytes.size());
   this->peers->Send(to, bytes);
 }
 
--- a/samphirebank/control/server_operators.cc
+++ b/samphirebank/control/server_operators.cc
@@ -1,3 +1,4 @@
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,7 +32,7 @@
     return;
   }
   if (path == "/readyz") return stream->Reply(this->Ready());
-  if (path == "/metrics") return stream->Reply(this->Metrics());
+  if (path == "/metrics") return stream->Reply(this->MetricsText());
   auto body = std::make_shared<std::string>();
   stream->on_body = [body](std::string_view piece) { body->append(piece); };
   const std::weak_ptr<net::ServerStream> weak = stream;
@@ -47,38 +48,22 @@
           .body = ready ? "ready\n" : "no quorum has confirmed the lease\n"};
 }
 
-net::Response Server::Metrics() const {
-  const auto line = [](const std::string& name, const std::string& kind,
-                       const std::string& value) {
-    return "# TYPE samphirebank_" + name + " " + kind + "\nsamphirebank_" +
-           name + " " + value + "\n";
-  };
-  const auto gauge = [&](const std::string& name, double value) {
-    return line(name, "gauge", std::to_string(value));
-  };
-  const auto counter = [&](const std::string& name, uint64_t value) {
-    return line(name, "counter", std::to_string(value));
-  };
-  const TimePoint now = net::Loop::Now();
-  const double left =
-      std::chrono::duration<double>(lease::LeaseLeft(this->holder, now))
-          .count();
+net::Response Server::MetricsText() {
   const auto& configuration = this->state.contracts.history.configuration;
+  const Duration left = lease::LeaseLeft(this->holder, net::Loop::Now());
   const auto number = [](auto value) { return static_cast<double>(value); };
-  std::string text =
-      gauge("control_leads", this->replication->leads() ? 1 : 0) +
-      gauge("control_term", number(this->replication->term().value)) +
-      gauge("control_log_index",
-            number(this->replication->last_index().value)) +
-      gauge("config_revision", number(configuration.revision.value)) +
-      gauge("config_lease_left_seconds", left) +
-      gauge("contracts", number(configuration.contracts.size())) +
-      gauge("claims", number(this->state.claims.entries.size())) +
-      gauge("instances_heard", number(this->registry.heard.size())) +
-      counter("peer_packets_sent_total", this->traffic.packets_sent) +
-      counter("peer_bytes_sent_total", this->traffic.bytes_sent) +
-      counter("peer_bytes_received_total", this->traffic.bytes_received);
-  return {.content_type = "text/plain; version=0.0.4", .body = std::move(text)};
+  Metrics& set = this->metrics;
+  set.leads.Set(this->replication->leads() ? 1 : 0);
+  set.term.Set(number(this->replication->term().value));
+  set.log_index.Set(number(this->replication->last_index().value));
+  set.disk_full.Set(this->replication->disk_is_full() ? 1 : 0);
+  set.revision.Set(number(configuration.revision.value));
+  set.lease_left.Set(std::chrono::duration<double>(left).count());
+  set.contracts.Set(number(configuration.contracts.size()));
+  set.claims.Set(number(this->state.claims.entries.size()));
+  set.heard.Set(number(this->registry.heard.size()));
+  return {.content_type = "text/plain; version=0.0.4",
+          .body = set.registry.ToText()};
 }
 
 void Server::Handle(const Stream& stream, const std::string& body) {
