--- a/samphirebank/lease/holder_test.cc
+++ b/samphirebank/lease/holder_test.cc
@@ -161,6 +161,27 @@
   CHECK(MayAct(holder, later));
 }
 
+TEST_CASE("a copy goes on after a piece of a router that has nothing yet") {
+  const contracts::Machine machine =
+      MachineWith(static_cast<int>(contracts::kKeptChanges) + 1000);
+  const contracts::History empty;
+  Holder holder = MakeHolder(Options());
+  for (int i = 0; i < 40; ++i) {
+    const TimePoint now = At(milliseconds(1000 + 25 * i));
+    const bool cold = i % 2 == 1;
+    for (const SendPoll& send : OnTimer(holder, now)) {
+      const std::optional<Proof> proof =
+          cold ? std::optional<Proof>()
+               : Proof{now, machine.history.configuration.revision};
+      OnUpdate(holder,
+               Answer(cold ? empty : machine.history, proof, Terms(), send.poll,
+                      now),
+               now);
+    }
+  }
+  CHECK(holder.history.configuration == machine.history.configuration);
+}
+
 TEST_CASE("a report covers all in turn and peers are near ones") {
   Registry registry;
   const TimePoint now = At(seconds(100));
--- a/samphirebank/lease/snapshot_copy.cc
+++ b/samphirebank/lease/snapshot_copy.cc
@@ -23,11 +23,12 @@
   if (!holder.copy || holder.copy->complete) return;
   Holder::SnapshotCopy& copy = *holder.copy;
   if (copy.after != piece.after) return;
+  // Whoever is behind the copy may lack contracts, or have none at all.
+  if (piece.revision < copy.oldest) return;
   for (const auto& row : piece.contracts) {
     copy.after = row.value.organisation;
     copy.staged.configuration.contracts[copy.after] = row;
   }
-  copy.oldest = std::min(copy.oldest, piece.revision);
   copy.newest = std::max(copy.newest, piece.revision);
   if (!piece.last) return;
   copy.complete = true;
