Encode the replicated state with fewer copies

The encoder copied the configuration and its changes first, and a string stream copied what it had written once more.

--- a/samphirebank/contracts/machine_codec.cc
+++ b/samphirebank/contracts/machine_codec.cc
@@ -1,4 +1,5 @@
 #include <boost/leaf/handle_errors.hpp>
+#include <cereal/types/deque.hpp>
 #include <deque>
 #include <optional>
 #include <string>
@@ -47,6 +48,20 @@
   }
 };
 
+// MachineView is written as a StoredMachine is, without a copy of the
+// configuration and its changes.
+struct MachineView {
+  const Configuration& configuration;
+  const std::deque<Change>& changes;
+  std::vector<StoredWriter> writers;
+  std::vector<StoredOutcome> outcomes;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(configuration, changes, writers, outcomes);
+  }
+};
+
 template <typename T>
 std::optional<T> Read(std::string_view bytes) {
   return wire::leaf::try_handle_all(
@@ -68,9 +83,8 @@
 }
 
 std::string EncodeMachine(const Machine& machine) {
-  StoredMachine stored{.configuration = machine.history.configuration};
-  stored.changes.assign(machine.history.changes.begin(),
-                        machine.history.changes.end());
+  MachineView stored{.configuration = machine.history.configuration,
+                     .changes = machine.history.changes};
   for (const Machine::Writer& writer : machine.writers) {
     stored.writers.push_back(
         {.change = writer.change, .author = writer.author});
--- a/samphirebank/wire/wire.h
+++ b/samphirebank/wire/wire.h
@@ -34,7 +34,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <ostream>
 #include <sstream>
+#include <streambuf>
 #include <string>
 #include <string_view>
 
@@ -87,13 +89,31 @@
   ErrorKind kind = ErrorKind::kMalformed;
 };
 
+// StringSink is a stream buffer that appends to a string; a string stream
+// copies what it wrote once more.
+class StringSink : public std::streambuf {
+ public:
+  std::string written;
+
+ protected:
+  std::streamsize xsputn(const char* bytes, std::streamsize count) override {
+    this->written.append(bytes, static_cast<size_t>(count));
+    return count;
+  }
+  int_type overflow(int_type byte) override {
+    this->written.push_back(traits_type::to_char_type(byte));
+    return byte;
+  }
+};
+
 // EncodeFields returns the fields of any serializable struct.
 template <typename T>
 std::string EncodeFields(const T& value) {
-  std::ostringstream out;
+  StringSink sink;
+  std::ostream out(&sink);
   cereal::PortableBinaryOutputArchive archive(out);
   archive(value);
-  return std::move(out).str();
+  return std::move(sink.written);
 }
 
 // DecodeFields reads what EncodeFields wrote; kMalformed when it does not fit
