--- a/samphirebank/control/internal/server.h
+++ b/samphirebank/control/internal/server.h
@@ -86,7 +86,7 @@
   wire::Sealer sealer;
   wire::Opener opener;
   ReplicatedState state;
-  lease::Holder holder;  // its history follows state.contracts
+  lease::Holder holder;  // of the history it has only the revision
   InForceClock in_force;
   lease::Registry registry;
   assignment::Wanted wanted;
--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -137,11 +137,10 @@
 Applied Server::ApplyOne(const std::string& entry) {
   Applied applied = ApplyEntry(this->state, entry);
   const contracts::History& history = this->state.contracts.history;
-  if (this->holder.history.configuration.revision <
-      history.configuration.revision) {
-    contracts::ApplyChange(this->holder.history, history.changes.back());
-    NoteApplied(this->in_force, history.configuration.revision,
-                net::Loop::Now());
+  Revision& known = this->holder.history.configuration.revision;
+  if (known < history.configuration.revision) {
+    known = history.configuration.revision;
+    NoteApplied(this->in_force, known, net::Loop::Now());
   }
   return applied;
 }
@@ -150,9 +149,10 @@
   if (!DecodeState(bytes, this->state)) {
     return this->Fail("the snapshot cannot be read");
   }
-  this->holder.history = this->state.contracts.history;
-  NoteRestored(this->in_force, this->holder.history.configuration.revision,
-               net::Loop::Now());
+  const Revision revision =
+      this->state.contracts.history.configuration.revision;
+  this->holder.history.configuration.revision = revision;
+  NoteRestored(this->in_force, revision, net::Loop::Now());
 }
 
 void Server::OnLeadership() {
@@ -225,7 +225,7 @@
   const TimePoint now = net::Loop::Now();
   lease::Hear(this->registry, *poll, now);
   lease::ConfigUpdate update =
-      lease::Answer(this->holder.history, this->holder.usable,
+      lease::Answer(this->state.contracts.history, this->holder.usable,
                     this->holder.options.terms, *poll, now);
   update.region = this->settings.identity.region;
   update.zone = this->settings.identity.zone;
