--- a/samphirebank/app/main.cc
+++ b/samphirebank/app/main.cc
@@ -11,23 +11,13 @@
 #include <vector>
 
 #include "samphirebank/contracts/contracts.h"
-#include "samphirebank/events/events.h"
-#include "samphirebank/settings/settings.h"
-#ifdef SAMPHIREBANK_HAS_ROUTER
-#include "samphirebank/router/router.h"
-#endif
-#ifdef SAMPHIREBANK_HAS_CONTROL
 #include "samphirebank/control/control.h"
-#endif
-#ifdef SAMPHIREBANK_HAS_OPERATORS
-#include "samphirebank/operators/operators.h"
-#endif
-#ifdef SAMPHIREBANK_HAS_EMULATOR
 #include "samphirebank/emulator/emulator.h"
-#endif
-#ifdef SAMPHIREBANK_HAS_TIMELINE
+#include "samphirebank/events/events.h"
+#include "samphirebank/operators/operators.h"
+#include "samphirebank/router/router.h"
+#include "samphirebank/settings/settings.h"
 #include "samphirebank/timeline/timeline.h"
-#endif
 
 namespace samphirebank {
 namespace {
@@ -61,23 +51,18 @@
   return run(parsed.settings);
 }
 
-#ifdef SAMPHIREBANK_HAS_ROUTER
 int Router(const Arguments& arguments, const Environment& environment) {
   return RunWith<settings::RouterSettings>(
       settings::ParseRouter(arguments, environment), settings::RouterHelp(),
       router::RunRouter);
 }
-#endif
 
-#ifdef SAMPHIREBANK_HAS_CONTROL
 int Control(const Arguments& arguments, const Environment& environment) {
   return RunWith<settings::ControlSettings>(
       settings::ParseControl(arguments, environment), settings::ControlHelp(),
       control::RunControl);
 }
-#endif
 
-#ifdef SAMPHIREBANK_HAS_OPERATORS
 Subcommand OperatorCommand(std::vector<std::string> words, std::string summary,
                            settings::OperatorVerb verb) {
   return {.words = std::move(words),
@@ -114,9 +99,7 @@
     table->push_back(std::move(command));
   }
 }
-#endif
 
-#ifdef SAMPHIREBANK_HAS_EMULATOR
 int Emulator(const Arguments& arguments, const Environment& environment) {
   return RunWith<settings::EmulatorSettings>(
       settings::ParseEmulator(arguments, environment), settings::EmulatorHelp(),
@@ -128,15 +111,12 @@
       settings::ParseLoad(arguments, environment), settings::LoadHelp(),
       emulator::RunLoad);
 }
-#endif
 
-#ifdef SAMPHIREBANK_HAS_TIMELINE
 int Timeline(const Arguments& arguments, const Environment& environment) {
   return RunWith<settings::TimelineSettings>(
       settings::ParseTimeline(arguments, environment), settings::TimelineHelp(),
       timeline::RunTimeline);
 }
-#endif
 
 int PrintEvents(const Arguments& arguments, const Environment&) {
   if (!arguments.empty()) {
@@ -161,22 +141,12 @@
 
 std::vector<Subcommand> Subcommands() {
   std::vector<Subcommand> table;
-#ifdef SAMPHIREBANK_HAS_OPERATORS
   AddOperatorCommands(&table);
-#endif
-#ifdef SAMPHIREBANK_HAS_ROUTER
   table.push_back({{"router"}, "run an entry instance", Router});
-#endif
-#ifdef SAMPHIREBANK_HAS_CONTROL
   table.push_back({{"control"}, "run a control instance", Control});
-#endif
-#ifdef SAMPHIREBANK_HAS_TIMELINE
   table.push_back({{"timeline"}, "merge the logs of processes", Timeline});
-#endif
-#ifdef SAMPHIREBANK_HAS_EMULATOR
   table.push_back({{"emulator"}, "run stand-in targets", Emulator});
   table.push_back({{"load"}, "send requests and count answers", Load});
-#endif
   table.push_back(
       {{"key-hash"}, "print what a contract stores of a key", PrintKeyHash});
   table.push_back({{"events"}, "print the catalogue of events", PrintEvents});
