Refuse JSON that nests too deep, and wrong kinds of a service

Cause: a JSON document that nests a hundred thousand arrays is read without recursion but written by dump() with it. A caller with a key could end a router by one body of 200 kB (segmentation fault in ReadModelCall at 100,000 and 1,000,000 levels, none at 10,000), an operator a control instance by a contract (contracts_test "what is not an object is one fault" crashed with SIGSEGV on the old code). An announcement with "kind": 5 threw out of the handler and so ended the router (targets_test, type_error.302 on the old code).

Ruled out: the parser and the destructor, which do not recurse; the relay, which had a limit of its own.

--- a/samphirebank/contracts/contract_json.cc
+++ b/samphirebank/contracts/contract_json.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "samphirebank/contracts/contracts.h"
+#include "samphirebank/json/json.h"
 
 namespace samphirebank::contracts {
 namespace {
@@ -158,12 +159,12 @@
 }
 
 std::optional<Contract> ParseContract(const OrganisationId& organisation,
-                                      std::string_view json,
+                                      std::string_view text,
                                       Findings& findings) {
   Findings own;
   Contract contract{.organisation = organisation};
   CheckName("organisation", organisation.value, own);
-  const Json document = Json::parse(json, nullptr, /*allow_exceptions=*/false);
+  const Json document = json::Parse(text);
   if (!document.is_object()) {
     own.Add("/", document.is_discarded() ? "malformed JSON" : document.dump(),
             "a JSON object");
--- a/samphirebank/contracts/contract_json_test.cc
+++ b/samphirebank/contracts/contract_json_test.cc
@@ -42,7 +42,11 @@
 }
 
 TEST_CASE("what is not an object is one fault") {
-  for (const char* text : {"", "{", "[]", "3", "null"}) {
+  constexpr size_t kDepth = 1'000'000;
+  const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+  for (const std::string& text :
+       {std::string(), std::string("{"), std::string("[]"), std::string("3"),
+        std::string("null"), deep}) {
     Findings findings;
     CHECK(!ParseContract(OrganisationId("a"), text, findings));
     CHECK(findings.all().size() == 1);
--- a/samphirebank/contracts/contracts.h
+++ b/samphirebank/contracts/contracts.h
@@ -114,11 +114,11 @@
 // KeyHash returns the hex digest under which an API key is stored.
 std::string KeyHash(std::string_view api_key);
 
-// ParseContract reads the contract of `organisation` from a JSON object. Every
+// ParseContract reads the contract of `organisation` from JSON `text`. Every
 // fault goes into `findings` with its place as a JSON pointer; unknown fields
 // are faults. Returns nothing when there is at least one fault.
 std::optional<Contract> ParseContract(const OrganisationId& organisation,
-                                      std::string_view json,
+                                      std::string_view text,
                                       Findings& findings);
 
 // ToJson returns the contract as the JSON object that ParseContract reads.
--- a/samphirebank/control/operator_api.cc
+++ b/samphirebank/control/operator_api.cc
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <utility>
 
+#include "samphirebank/json/json.h"
+
 namespace samphirebank::control {
 namespace {
 
@@ -130,7 +132,7 @@
   Findings findings;
   ReadChange(head, /*needs_revision=*/false, call, findings);
   contracts::CheckName("target", target.value, findings);
-  const Json document = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const Json document = json::Parse(body);
   std::optional<contracts::TargetIntent> intent;
   if (document.is_object() && document.size() == 1 &&
       document.contains("intent") && document["intent"].is_string()) {
@@ -149,7 +151,7 @@
 OperatorCall ReadReplace(const std::string& body) {
   OperatorCall call{.kind = CallKind::kReplaceMember};
   Findings findings;
-  const Json document = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const Json document = json::Parse(body);
   if (document.is_object() && document.contains("member") &&
       document["member"].is_string()) {
     call.member = InstanceId(document["member"].get<std::string>());
--- a/samphirebank/ingress/ingress_test.cc
+++ b/samphirebank/ingress/ingress_test.cc
@@ -52,6 +52,17 @@
   CHECK(ReadModelCall("{\"model\"").findings.all().size() == 1);
 }
 
+TEST_CASE("a body that nests a million deep is malformed") {
+  constexpr size_t kDepth = 1'000'000;
+  const std::string deep =
+      std::string(kDepth, '[') + std::string(kDepth, ']') + "}";
+  for (const char* field : {"messages", "max_tokens", "stream"}) {
+    const std::string start =
+        R"({"model":"m","prompt":"p",")" + std::string(field) + R"(":)";
+    CHECK(ReadModelCall(start + deep).findings.all().size() == 1);
+  }
+}
+
 TEST_CASE("a model call is estimated from its prompt and limit") {
   const ReadCall read = ReadModelCall(
       R"({"model":"m","prompt":"0123456789","max_tokens":100,"stream":true})");
--- a/samphirebank/ingress/model_call.cc
+++ b/samphirebank/ingress/model_call.cc
@@ -6,11 +6,12 @@
 #include <string_view>
 
 #include "samphirebank/ingress/ingress.h"
+#include "samphirebank/json/json.h"
 
 namespace samphirebank::ingress {
 namespace {
 
-using nlohmann::json;
+using Json = nlohmann::json;
 
 constexpr int64_t kBytesPerToken = 4;
 constexpr int64_t kUnstatedAnswerTokens = 256;
@@ -19,13 +20,13 @@
 
 // PromptOf returns the text that the target will read, as it stands in the
 // body.
-std::string PromptOf(const json& body) {
+std::string PromptOf(const Json& body) {
   if (body.contains("messages")) return body["messages"].dump();
   if (body.contains("prompt")) return body["prompt"].dump();
   return {};
 }
 
-void CheckFields(const json& body, Findings& findings) {
+void CheckFields(const Json& body, Findings& findings) {
   const bool has_model = body.contains("model") && body["model"].is_string() &&
                          !body["model"].get<std::string>().empty();
   if (!has_model) findings.Add("model", "", "a model's name");
@@ -39,7 +40,7 @@
     findings.Add("stream", body["stream"].dump(), "true or false");
   }
   if (!body.contains("max_tokens")) return;
-  const json& limit = body["max_tokens"];
+  const Json& limit = body["max_tokens"];
   const bool allowed =
       limit.is_number_integer() && limit > 0 && limit <= kMaxAnswerTokens;
   if (!allowed) {
@@ -56,7 +57,7 @@
 
 ReadCall ReadModelCall(std::string_view body) {
   ReadCall read;
-  const json parsed = json::parse(body, nullptr, false);
+  const Json parsed = json::Parse(body);
   if (!parsed.is_object()) {
     read.findings.Add("body", "", "a JSON object");
     return read;
--- a/samphirebank/relay/internal/usage.h
+++ b/samphirebank/relay/internal/usage.h
@@ -13,7 +13,7 @@
 // ReadJson takes usage, finish reasons and generated text from one JSON value
 // of an answer; anything else is left alone. Returns false when the value is
 // an error that the target reports.
-bool ReadJson(std::string_view json, Progress& progress);
+bool ReadJson(std::string_view text, Progress& progress);
 
 }  // namespace samphirebank::relay::internal
 
--- a/samphirebank/relay/usage.cc
+++ b/samphirebank/relay/usage.cc
@@ -3,14 +3,13 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "samphirebank/json/json.h"
+
 namespace samphirebank::relay::internal {
 namespace {
 
 using Json = nlohmann::json;
 
-// kMaxDepth keeps the parser's recursion within the stack.
-constexpr int kMaxDepth = 64;
-
 const Json* Member(const Json& value, const char* name) {
   if (!value.is_object()) return nullptr;
   const auto found = value.find(name);
@@ -49,17 +48,10 @@
   if (reason != nullptr && reason->is_string()) progress.finish_reason = true;
 }
 
-Json Parse(std::string_view text) {
-  const auto within_depth = [](int depth, Json::parse_event_t, Json&) {
-    return depth <= kMaxDepth;
-  };
-  return Json::parse(text, within_depth, false);
-}
-
 }  // namespace
 
-bool ReadJson(std::string_view json, Progress& progress) {
-  const Json value = Parse(json);
+bool ReadJson(std::string_view text, Progress& progress) {
+  const Json value = json::Parse(text);
   if (!value.is_object()) return true;
   if (const Json* usage = Member(value, "usage")) ReadUsage(*usage, progress);
   const Json* choices = Member(value, "choices");
--- a/samphirebank/targets/announcement.cc
+++ b/samphirebank/targets/announcement.cc
@@ -3,12 +3,13 @@
 #include <string>
 #include <string_view>
 
+#include "samphirebank/json/json.h"
 #include "samphirebank/targets/targets.h"
 
 namespace samphirebank::targets {
 namespace {
 
-using nlohmann::json;
+using Json = nlohmann::json;
 
 constexpr int64_t kMaxSlots = 100'000;
 constexpr int64_t kMinRenewMs = 50;
@@ -19,7 +20,7 @@
 
 // Reader takes fields out of a JSON object and collects what is wrong.
 struct Reader {
-  const json& object;
+  const Json& object;
   Findings& findings;
 
   std::string Text(const char* name) const {
@@ -55,7 +56,7 @@
   }
 };
 
-ServiceOffer ReadOffer(const json& item, Findings& findings) {
+ServiceOffer ReadOffer(const Json& item, Findings& findings) {
   if (!item.is_object()) {
     findings.Add("", item.dump(), "an object");
     return {};
@@ -64,15 +65,15 @@
   ServiceOffer offer;
   offer.name = ServiceId(reader.Text("name"));
   offer.repeatable = reader.Flag("repeatable");
-  const std::string kind = item.value("kind", "model");
+  const Json kind = item.value("kind", Json("model"));
   if (kind != "model" && kind != "service") {
-    findings.Add("kind", kind, "model or service");
+    findings.Add("kind", kind.dump(), "model or service");
   }
   offer.model = kind == "model";
   return offer;
 }
 
-std::vector<ServiceOffer> ReadOffers(const json& object, Findings& findings) {
+std::vector<ServiceOffer> ReadOffers(const Json& object, Findings& findings) {
   std::vector<ServiceOffer> offers;
   const auto found = object.find("services");
   const bool usable = found != object.end() && found->is_array() &&
@@ -93,7 +94,7 @@
 
 ReadAnnouncement ParseAnnouncement(std::string_view text) {
   ReadAnnouncement read;
-  const json object = json::parse(text, nullptr, false);
+  const Json object = json::Parse(text);
   if (!object.is_object()) {
     read.findings.Add("body", "", "a JSON object");
     return read;
@@ -120,7 +121,7 @@
 }
 
 std::optional<Load> ParseLoad(std::string_view text) {
-  const json object = json::parse(text, nullptr, false);
+  const Json object = json::Parse(text);
   if (!object.is_object()) return std::nullopt;
   Findings findings;
   const Reader reader{.object = object, .findings = findings};
--- a/samphirebank/targets/targets_test.cc
+++ b/samphirebank/targets/targets_test.cc
@@ -25,6 +25,15 @@
           "slots":-1,"renew_ms":5,"services":[{"kind":"x"}]})");
   CHECK(read.findings.all().size() == 6);
   CHECK(ParseAnnouncement("[1").findings.all().size() == 1);
+  const ReadAnnouncement wrong_kind = ParseAnnouncement(
+      R"({"id":"t","region":"r","availability_zone":"z",
+          "address":"127.0.0.1:1","services":[{"name":"s","kind":5}]})");
+  CHECK(wrong_kind.findings.all().size() == 1);
+  constexpr size_t kDepth = 1'000'000;
+  const std::string deep = R"({"services":)" + std::string(kDepth, '[') +
+                           std::string(kDepth, ']') + "}";
+  CHECK(ParseAnnouncement(deep).findings.all().size() == 1);
+  CHECK(!ParseLoad(deep).has_value());
 }
 
 TEST_CASE("an announced target is forwarded once a service, then at its pace") {
