Let stand-in targets refuse orders that were overtaken

A target now keeps the highest number of each scope (samphirebank-fence-scope, the pool: epochs of two services or two regions are not comparable) and answers a lower one with 409 and samphirebank-not-run. Seen to fail without the check: the test's second half is a target that ignores the number and runs all six orders.

AnswerService and AnswerWhole differed in the body only: one AnswerAtOnce.

--- a/samphirebank/emulator/emulator_test.cc
+++ b/samphirebank/emulator/emulator_test.cc
@@ -25,36 +25,85 @@
   bool whole = false;
 };
 
-// CallOnce calls an emulator with these settings and waits for the end.
-Reply CallOnce(settings::EmulatorSettings settings, bool stream) {
+// CallTarget calls the first target; `done` takes what came of it.
+void CallTarget(net::Loop& loop, const Emulator& emulator, bool stream,
+                std::vector<net::Header> headers,
+                const std::function<void(const Reply&)>& done) {
+  auto reply = std::make_shared<Reply>();
+  loop.Call(
+      {.to = {.ip = "127.0.0.1", .port = emulator.ports()[0].port},
+       .method = "POST",
+       .path = kChat,
+       .headers = std::move(headers),
+       .body = ChatBody("q", stream),
+       .first_byte_timeout = std::chrono::milliseconds(300),
+       .idle_timeout = std::chrono::milliseconds(300),
+       .on_head =
+           [reply](int status, const std::vector<net::Header>& got) {
+             reply->status = status;
+             reply->headers = got;
+           },
+       .on_data = [reply](std::string_view piece) { reply->body += piece; },
+       .on_end =
+           [reply, done] {
+             reply->whole = true;
+             done(*reply);
+           },
+       .on_error = [reply, done](const auto&) { done(*reply); }});
+}
+
+settings::EmulatorSettings Quick(settings::EmulatorSettings settings) {
   settings.services = {{.service = ServiceId("m")}};
   settings.tokens_per_second = 0;
+  return settings;
+}
+
+// CallOnce calls an emulator with these settings.
+Reply CallOnce(const settings::EmulatorSettings& settings, bool stream) {
   net::Loop loop;
-  Emulator emulator(loop, settings);
+  const Emulator emulator(loop, Quick(settings));
   Reply reply;
-  loop.Call({.to = {.ip = "127.0.0.1", .port = emulator.ports()[0].port},
-             .method = "POST",
-             .path = kChat,
-             .headers = {{std::string(relay::kRequestIdHeader), "r-7"}},
-             .body = ChatBody("q", stream),
-             .first_byte_timeout = std::chrono::milliseconds(300),
-             .idle_timeout = std::chrono::milliseconds(300),
-             .on_head =
-                 [&](int status, const std::vector<net::Header>& headers) {
-                   reply.status = status;
-                   reply.headers = headers;
-                 },
-             .on_data = [&](std::string_view piece) { reply.body += piece; },
-             .on_end =
-                 [&] {
-                   reply.whole = true;
-                   loop.Stop();
-                 },
-             .on_error = [&](const net::CallError&) { loop.Stop(); }});
+  CallTarget(loop, emulator, stream,
+             {{std::string(relay::kRequestIdHeader), "r-7"}},
+             [&](const Reply& got) {
+               reply = got;
+               loop.Stop();
+             });
   loop.Run();
   return reply;
 }
 
+using Fences = std::vector<std::pair<std::string, int>>;  // scope and number
+
+// CallWithFences returns the statuses of one order after the other.
+std::vector<int> CallWithFences(const settings::EmulatorSettings& settings,
+                                const Fences& fences) {
+  net::Loop loop;
+  const Emulator emulator(loop, Quick(settings));
+  std::vector<int> statuses;
+  std::function<void()> next = [&] {
+    if (statuses.size() == fences.size()) {
+      loop.Stop();
+      return;
+    }
+    const auto& [scope, number] = fences[statuses.size()];
+    CallTarget(loop, emulator, false,
+               {{std::string(relay::kFenceScopeHeader), scope},
+                {std::string(relay::kFenceHeader), std::to_string(number)}},
+               [&](const Reply& reply) {
+                 const bool not_run =
+                     net::FindHeader(reply.headers, relay::kNotRunHeader) ==
+                     "true";
+                 CHECK(not_run == (reply.status == 409));
+                 statuses.push_back(reply.status);
+                 next();
+               });
+  };
+  next();
+  loop.Run();
+  return statuses;
+}
+
 TEST_CASE("an answer is whole only for its own prompt") {
   for (const bool stream : {false, true}) {
     const auto request = ParseCompletion(kChat, ChatBody("q1", stream));
@@ -101,6 +150,14 @@
   CHECK(net::FindHeader(stray.headers, relay::kRequestIdHeader) == "stray");
 }
 
+TEST_CASE("a target that checks fencing refuses what was overtaken") {
+  const Fences orders = {{"a/m", 4}, {"a/m", 5}, {"b/m", 2},
+                         {"a/m", 4}, {"a/m", 5}, {"b/m", 1}};
+  CHECK(CallWithFences({.checks_fencing = true}, orders) ==
+        std::vector<int>{200, 200, 200, 409, 200, 409});
+  CHECK(CallWithFences({}, orders) == std::vector<int>(6, 200));
+}
+
 TEST_CASE("an organisations file reports all its faults") {
   Findings findings;
   ParseMixes(R"({"organisations": [{"organisation": 3, "streaming_share": 2},
--- a/samphirebank/emulator/internal/target.h
+++ b/samphirebank/emulator/internal/target.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -69,16 +70,18 @@
              std::function<void()> action);
   void OnRequest(const std::shared_ptr<net::ServerStream>& stream);
   void OnBody(const RunPointer& run);
+  bool TakeFence(const net::RequestHead& head);
+  void Refuse(const RunPointer& run, int status, const std::string& reason);
   void StartNext();
   void Start(const RunPointer& run);
   void Answer(const RunPointer& run);
-  void AnswerService(const RunPointer& run);
-  void AnswerWhole(const RunPointer& run);
+  void AnswerAtOnce(const RunPointer& run);
   void SendDueEvents(const RunPointer& run);
   bool SendPiece(const RunPointer& run, std::string piece);
   void End(const RunPointer& run, const std::string& state);
   uint32_t EventsDue(const Run& run) const;
   std::vector<net::Header> Headers(const Run& run) const;
+  std::string ServiceBody(const Run& run) const;
   Load CurrentLoad() const;
 
   net::Loop& loop;
@@ -87,6 +90,8 @@
   std::shared_ptr<RunsFile> runs;
   uint16_t port = 0;
   uint64_t requests = 0;
+  // fences holds the highest fencing number of each scope.
+  std::map<std::string, uint64_t> fences;
   RunCounts counts;
   std::set<RunPointer> running;
   std::deque<RunPointer> waiting;
--- a/samphirebank/emulator/target.cc
+++ b/samphirebank/emulator/target.cc
@@ -15,16 +15,23 @@
 constexpr Duration kShortestPause = std::chrono::milliseconds(1);
 constexpr char kStrayNonce[] = "stray";
 constexpr char kEventStream[] = "text/event-stream";
+constexpr int kStaleOrder = 409;
+constexpr int kUnavailable = 503;
 
 std::string HeaderOr(const net::RequestHead& head, std::string_view name) {
   return net::FindHeader(head.headers, name).value_or("");
 }
 
+// NumberOr returns a header's number; 0 without one.
+uint64_t NumberOr(const net::RequestHead& head, std::string_view name) {
+  const std::string text = HeaderOr(head, name);
+  uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
 uint32_t ResumeAfter(const net::RequestHead& head) {
-  const std::string text = HeaderOr(head, relay::kResumeHeader);
-  uint32_t events = 0;
-  std::from_chars(text.data(), text.data() + text.size(), events);
-  return events;
+  return static_cast<uint32_t>(NumberOr(head, relay::kResumeHeader));
 }
 
 std::string ModelsBody(const settings::EmulatorSettings& settings) {
@@ -104,14 +111,33 @@
   };
 }
 
+// TakeFence returns false for an order that a newer one has overtaken.
+bool Target::TakeFence(const net::RequestHead& head) {
+  if (!this->settings->checks_fencing) return true;
+  uint64_t& newest = this->fences[HeaderOr(head, relay::kFenceScopeHeader)];
+  const uint64_t number = NumberOr(head, relay::kFenceHeader);
+  if (number < newest) return false;
+  newest = number;
+  return true;
+}
+
+void Target::Refuse(const RunPointer& run, int status,
+                    const std::string& reason) {
+  run->ended = true;
+  run->stream->Reply(
+      {.status = status,
+       .body = nlohmann::ordered_json{{"error", reason}}.dump(),
+       .headers = {{std::string(relay::kNotRunHeader), "true"}}});
+}
+
 void Target::OnBody(const RunPointer& run) {
   const net::RequestHead& head = run->stream->head();
+  if (!this->TakeFence(head)) {
+    this->Refuse(run, kStaleOrder, "stale fencing number");
+    return;
+  }
   if (run->fault == Fault::kRefuse) {
-    run->ended = true;
-    run->stream->Reply(
-        {.status = 503,
-         .body = R"({"error": "refused before running"})",
-         .headers = {{std::string(relay::kNotRunHeader), "true"}}});
+    this->Refuse(run, kUnavailable, "refused before running");
     return;
   }
   if (IsCompletion(head.path)) {
@@ -159,7 +185,7 @@
 
 void Target::Answer(const RunPointer& run) {
   if (!run->completion) {
-    this->AnswerService(run);
+    this->AnswerAtOnce(run);
   } else if (run->completion->request.stream) {
     std::vector<net::Header> headers = this->Headers(*run);
     headers.push_back({"content-type", kEventStream});
@@ -171,19 +197,16 @@
                                       : Duration(std::chrono::seconds(1)) *
                                             run->completion->tokens / rate;
     if (needed < kShortestPause) {
-      this->AnswerWhole(run);
+      this->AnswerAtOnce(run);
       return;
     }
-    this->Later(needed, run, [this, run] { this->AnswerWhole(run); });
+    this->Later(needed, run, [this, run] { this->AnswerAtOnce(run); });
   }
 }
 
-void Target::AnswerService(const RunPointer& run) {
-  const nlohmann::ordered_json body = {{"target", this->id.value},
-                                       {"path", run->stream->head().path},
-                                       {"echo", run->body}};
-  const std::string text = body.dump(
-      -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+void Target::AnswerAtOnce(const RunPointer& run) {
+  const std::string text =
+      run->completion ? AnswerBody(*run->completion) : this->ServiceBody(*run);
   std::vector<net::Header> headers = this->Headers(*run);
   headers.push_back({"content-type", "application/json"});
   run->stream->SendHead(200, std::move(headers),
@@ -193,15 +216,12 @@
   this->End(run, "ended");
 }
 
-void Target::AnswerWhole(const RunPointer& run) {
-  const std::string text = AnswerBody(*run->completion);
-  std::vector<net::Header> headers = this->Headers(*run);
-  headers.push_back({"content-type", "application/json"});
-  run->stream->SendHead(200, std::move(headers),
-                        Bytes(static_cast<int64_t>(text.size())));
-  if (!this->SendPiece(run, text)) return;
-  run->stream->Finish();
-  this->End(run, "ended");
+std::string Target::ServiceBody(const Run& run) const {
+  const nlohmann::ordered_json body = {{"target", this->id.value},
+                                       {"path", run.stream->head().path},
+                                       {"echo", run.body}};
+  return body.dump(-1, ' ', false,
+                   nlohmann::ordered_json::error_handler_t::replace);
 }
 
 uint32_t Target::EventsDue(const Run& run) const {
--- a/samphirebank/net/header_fields.cc
+++ b/samphirebank/net/header_fields.cc
@@ -30,10 +30,11 @@
 };
 
 // Fields that libwebsockets has no token for; it wants the colon.
-constexpr std::array<std::string_view, 8> kCustomFields = {
+constexpr std::array<std::string_view, 9> kCustomFields = {
     "change-id:",
     "idempotency-key:",
     "samphirebank-fence:",
+    "samphirebank-fence-scope:",
     "samphirebank-not-run:",
     "samphirebank-request-id:",
     "samphirebank-resume-after:",
--- a/samphirebank/relay/relay.h
+++ b/samphirebank/relay/relay.h
@@ -37,6 +37,12 @@
 inline constexpr std::string_view kNotRunHeader = "samphirebank-not-run";
 // kResumeHeader asks a target to go on after that many events of the answer.
 inline constexpr std::string_view kResumeHeader = "samphirebank-resume-after";
+// kFenceHeader carries an order's fencing number, kFenceScopeHeader the pool
+// that it counts in, "REGION/SERVICE". A target that checks it refuses, with
+// kNotRunHeader, what has a lower number than the highest of that scope.
+inline constexpr std::string_view kFenceHeader = "samphirebank-fence";
+inline constexpr std::string_view kFenceScopeHeader =
+    "samphirebank-fence-scope";
 // kInternalPrefix begins every header that only this system may set.
 inline constexpr std::string_view kInternalPrefix = "samphirebank-";
 
