Send the fencing number's pool, believe a target that refuses it

Routers sent samphirebank-fence without what it counts in. Now the pool goes with it; a resumed stream, whose slot every later scheduler inherits, goes by the newest known epoch, else a target that checks would cut streams that outlive a change of scheduler. A connect that outlasts the grant is given up, so that a lost SYN cannot carry an order past its expiry.

Found by the new process test: attempts.cc never told relay::BeginAnswer that the target may state not-run, so such a refusal was passed to the caller as the target's own answer (seen: caller got 409, expected 200 or not-run), and a keyed call's refusal was recorded as run. Mended there.

--- a/samphirebank/router/attempts.cc
+++ b/samphirebank/router/attempts.cc
@@ -1,5 +1,6 @@
 #include "samphirebank/router/internal/attempts.h"
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -18,21 +19,35 @@
 // Output that a slow caller has not taken; above it the target's stream is
 // held back.
 constexpr Bytes kCallerBacklog = Bytes(256 << 10);
-// Headers that tell a target which order is newer.
-constexpr std::string_view kFenceHeader = "samphirebank-fence";
 
 RequestId AttemptId(const RequestId& request, uint32_t attempt) {
   return RequestId(request.value + "." + std::to_string(attempt));
 }
 
-std::vector<net::Header> HeadersFor(const CallerRequest& request,
+// FenceOf is the fencing number of a call. A stream that is resumed holds its
+// slot under every scheduler that follows, so it goes by the newest one.
+Epoch FenceOf(const Router& router, const CallerRequest& request,
+              const outcome::Dispatch& dispatch) {
+  if (!dispatch.resume_after) return dispatch.grant.epoch;
+  const auto& pools = router.holder.history.configuration.pools;
+  const auto found = pools.find(request.pool);
+  if (found == pools.end()) return dispatch.grant.epoch;
+  return std::max(dispatch.grant.epoch, found->second.value.epoch);
+}
+
+std::vector<net::Header> HeadersFor(const Router& router,
+                                    const CallerRequest& request,
                                     const outcome::Dispatch& dispatch) {
   std::vector<net::Header> headers =
       relay::RequestHeaders(request.stream->head().headers);
   headers.push_back({.name = std::string(relay::kRequestIdHeader),
                      .value = AttemptId(request.id, dispatch.attempt).value});
-  headers.push_back({.name = std::string(kFenceHeader),
-                     .value = std::to_string(dispatch.grant.epoch.value)});
+  const Epoch fence = FenceOf(router, request, dispatch);
+  headers.push_back({.name = std::string(relay::kFenceHeader),
+                     .value = std::to_string(fence.value)});
+  const PoolId& pool = request.pool;
+  headers.push_back({.name = std::string(relay::kFenceScopeHeader),
+                     .value = pool.region.value + "/" + pool.service.value});
   if (dispatch.resume_after) {
     headers.push_back({.name = std::string(relay::kResumeHeader),
                        .value = std::to_string(*dispatch.resume_after)});
@@ -42,11 +57,12 @@
 
 void OnHead(Router& router, CallerRequest& request, uint32_t attempt,
             int status, const std::vector<net::Header>& headers) {
-  request.answer =
-      relay::BeginAnswer({.request = AttemptId(request.id, attempt),
-                          .target_echoes_id = request.traits.echoes_id,
-                          .model_stream = request.model_stream},
-                         status, headers);
+  request.answer = relay::BeginAnswer(
+      {.request = AttemptId(request.id, attempt),
+       .target_echoes_id = request.traits.echoes_id,
+       .target_states_not_run = request.traits.states_not_run,
+       .model_stream = request.model_stream},
+      status, headers);
   request.answer_headers = relay::ResponseHeaders(headers);
   request.held.clear();
   request.record_body.clear();
@@ -63,8 +79,7 @@
         outcome::HeadReceived{.attempt = attempt,
                               .status = status,
                               .event_stream = request.answer.event_stream,
-                              .states_not_run = request.traits.states_not_run &&
-                                                request.answer.states_not_run,
+                              .states_not_run = request.answer.states_not_run,
                               .retry_after = request.answer.retry_after});
 }
 
@@ -130,6 +145,13 @@
                                .timed_out = error.timed_out});
 }
 
+// ConnectLimit ends a slow connect when the grant expires, so that the order
+// is not sent late. A resumed stream holds its slot for longer.
+Duration ConnectLimit(const outcome::Dispatch& dispatch, TimePoint now) {
+  if (dispatch.resume_after) return kConnectLimit;
+  return std::min(kConnectLimit, Duration(dispatch.grant.expires - now));
+}
+
 // Start makes the call; the request is looked up again for each callback,
 // since it may have ended meanwhile.
 void Start(Router& router, CallerRequest& request,
@@ -162,9 +184,9 @@
       {.to = dispatch.grant.address,
        .method = request.stream->head().method,
        .path = request.route.target_path,
-       .headers = HeadersFor(request, dispatch),
+       .headers = HeadersFor(router, request, dispatch),
        .body = request.body,
-       .connect_timeout = kConnectLimit,
+       .connect_timeout = ConnectLimit(dispatch, now),
        .first_byte_timeout = request.machine.options.deadline - now,
        .idle_timeout = kStallLimit,
        .on_head =
--- a/samphirebank/router/router_process_test.cc
+++ b/samphirebank/router/router_process_test.cc
@@ -1,12 +1,17 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <csignal>
+#include <fstream>
 #include <memory>
+#include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "samphirebank/contracts/contracts.h"
 #include "samphirebank/testing/processes.h"
+#include "samphirebank/testing/slow_link.h"
 
 // Real processes on loopback; SAMPHIREBANK_BINARY names the program.
 namespace samphirebank::router {
@@ -45,9 +50,21 @@
   std::unique_ptr<testing::Process> targets;
 
   explicit Fleet(uint32_t slots) {
+    this->StartInstances();
+    this->StartTargets(
+        {Flag("count", "2"), Flag("slots", std::to_string(slots)),
+         Flag("router",
+              "127.0.0.1:" + std::to_string(this->entries[0].admin))});
+  }
+
+  explicit Fleet(const std::vector<std::string>& target_flags) {
+    this->StartInstances();
+    this->StartTargets(target_flags);
+  }
+
+  void StartInstances() {
     this->StartControl();
     for (size_t i = 0; i < this->entries.size(); ++i) this->StartEntry(i);
-    this->StartTargets(slots);
   }
 
   static std::unique_ptr<testing::Process> Start(
@@ -87,13 +104,27 @@
          this->Log(name)});
   }
 
-  void StartTargets(uint32_t slots) {
-    this->targets = Start(
-        {"emulator", Flag("region", "south"), Flag("availability-zone", "a"),
-         Flag("count", "2"), Flag("slots", std::to_string(slots)),
-         Flag("tokens-per-second", "100"), Flag("model", "small"),
-         Flag("router",
-              "127.0.0.1:" + std::to_string(this->entries[0].admin))});
+  void StartTargets(const std::vector<std::string>& flags) {
+    std::vector<std::string> all = {
+        "emulator", Flag("region", "south"), Flag("availability-zone", "a"),
+        Flag("tokens-per-second", "100"), Flag("model", "small")};
+    all.insert(all.end(), flags.begin(), flags.end());
+    this->targets = Start(all);
+  }
+
+  // NewestEpoch is that of the last scheduler which a router started; 0 if it
+  // started none.
+  int NewestEpoch(const std::string& name) const {
+    std::ifstream log(this->folder.path() + "/" + name + ".log");
+    int epoch = 0;
+    for (std::string line; std::getline(log, line);) {
+      const size_t field = line.find("\"epoch\":");
+      const bool started = line.find("scheduler-started") != std::string::npos;
+      if (started && field != std::string::npos) {
+        epoch = std::stoi(line.substr(field + 8));
+      }
+    }
+    return epoch;
   }
 
   // PutContract writes a contract; `fields` is JSON after the key, or empty.
@@ -118,14 +149,16 @@
     }
   }
 
-  static Call ModelCall(const std::string& organisation, int tokens) {
+  static Call ModelCall(const std::string& organisation, int tokens,
+                        const std::string& prompt = "nonce") {
     return {.method = "POST",
             .path = "/v1/chat/completions",
             .headers = {"authorization: Bearer key-of-" + organisation,
                         "content-type: application/json"},
             .body = R"({"model":"small","stream":true,"max_tokens":)" +
                     std::to_string(tokens) +
-                    R"(,"messages":[{"role":"user","content":"nonce"}]})"};
+                    R"(,"messages":[{"role":"user","content":")" + prompt +
+                    "\"}]}"};
   }
 
   // Contracts writes contracts and waits until they are in force.
@@ -248,6 +281,113 @@
   CHECK(refused > 0);
 }
 
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+// Announcer keeps a target announced at one router, under any address.
+class Announcer {
+ public:
+  Announcer(uint16_t admin, std::string announcement)
+      : router(admin), body(std::move(announcement)) {
+    this->thread = std::thread([this] { this->Run(); });
+  }
+  ~Announcer() {
+    this->ends = true;
+    this->thread.join();
+  }
+  Announcer(const Announcer&) = delete;
+  Announcer& operator=(const Announcer&) = delete;
+
+  void MoveTo(uint16_t admin) { this->router = admin; }
+
+ private:
+  void Run() const {
+    while (!this->ends) {
+      Ask(this->router, {.method = "POST",
+                         .path = "/targets/v1/announce",
+                         .headers = {kTarget},
+                         .body = this->body});
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+  }
+
+  std::atomic<uint16_t> router;
+  std::atomic<bool> ends = false;
+  std::string body;
+  std::thread thread;
+};
+
+int RunsOf(const std::string& prompt, const std::string& runs_file) {
+  std::istringstream lines(ReadFile(runs_file));
+  int count = 0;
+  for (std::string line; std::getline(lines, line);) {
+    const bool counts =
+        line.find(R"("state":"started")") != std::string::npos &&
+        line.find(R"("nonce":")" + prompt + '"') != std::string::npos;
+    if (counts) ++count;
+  }
+  return count;
+}
+
+// RunsOfLateOrder has an order of a frozen router arrive at its target after
+// another router became the scheduler; it returns how often it has run then.
+int RunsOfLateOrder(bool target_checks) {
+  const testing::Folder folder;
+  const std::string runs = folder.path() + "/runs";
+  const std::string ports = folder.path() + "/ports";
+  std::vector<std::string> flags = {Flag("runs-file", runs),
+                                    Flag("ports-file", ports)};
+  if (target_checks) flags.emplace_back("--checks-fencing");
+  Fleet fleet(flags);
+  REQUIRE(testing::WaitUntil([&] { return !ReadFile(ports).empty(); }));
+  const std::string named = ReadFile(ports);
+  testing::SlowLink link(
+      static_cast<uint16_t>(std::stoi(named.substr(named.find(':') + 1))));
+  Announcer announcer(
+      fleet.entries[0].admin,
+      R"({"id":"target-1","region":"south","availability_zone":"a",)"
+      R"("address":"127.0.0.1:)" +
+          std::to_string(link.port()) +
+          R"(","services":[{"name":"small","kind":"model","repeatable":true}],)"
+          R"("slots":8,"states_not_run":true,"renew_ms":500,"checks_fencing":)" +
+          (target_checks ? "true}" : "false}"));
+  fleet.Contracts({"guides"}, R"(,"deadline_ms":60000)");
+  const bool first = fleet.NewestEpoch("r1") > fleet.NewestEpoch("r2");
+  const Entry& old_holder = fleet.entries[first ? 0 : 1];
+  const Entry& other = fleet.entries[first ? 1 : 0];
+  announcer.MoveTo(other.admin);
+
+  link.Hold(R"("late")");
+  const int late =
+      testing::Begin(old_holder.caller, Fleet::ModelCall("guides", 2, "late"));
+  REQUIRE(testing::WaitUntil([&] { return link.holding(); }));
+  old_holder.process->Signal(SIGSTOP);
+  REQUIRE(testing::WaitUntil([&] {
+    return Ask(other.caller, Fleet::ModelCall("guides", 1, "newer")).status ==
+           200;
+  }));
+  link.Release();
+  // The order is taken or refused before one that is sent after it ends.
+  CHECK(Ask(other.caller, Fleet::ModelCall("guides", 20, "after")).status ==
+        200);
+  const int late_runs = RunsOf("late", runs);
+  old_holder.process->Signal(SIGCONT);
+  // Served under the new scheduler, or refused since the lease ran out.
+  const Reply reply = testing::End(late);
+  const bool served = reply.status == 200 && reply.whole;
+  CHECK(RunsOf("late", runs) == (served ? 1 : 0));
+  CHECK((served || Has(reply, "\"outcome\":\"not-run\"")));
+  return late_runs;
+}
+
+TEST_CASE(
+    "a frozen router's late order does not run where fencing is checked") {
+  CHECK(RunsOfLateOrder(true) == 0);
+  CHECK(RunsOfLateOrder(false) == 1);
+}
+
 TEST_CASE("each port refuses whom it does not know, and keys stay secret") {
   Fleet fleet(8);
   fleet.Contracts({"guides"});
