--- a/samphirebank/wire/wire.h
+++ b/samphirebank/wire/wire.h
@@ -60,6 +60,8 @@
   kCounterShare = 9,      // between schedulers of one service in two regions
   kPoolRequest = 10,      // router to control: a pool needs a scheduler
   kOperatorForward = 11,  // control instance to leader
+  kQuotaAsk = 12,         // pool scheduler to the coordinator of limits
+  kQuotaGrant = 13,       // the answer: parts of organisations' limits
 };
 
 // Packet is an encoded message with its kind.
