Let schedulers use only their quota of limits over several pools

A scheduler asks the coordinator for organisations that have limits, may use several pools and have work here, and counts rate, tokens and concurrency against the quota that it got. It ends counted from before the ask, also when the answer comes late; unused quota is given back. Notices of the queue's length count what waits in other pools.

--- a/samphirebank/measure/measure.h
+++ b/samphirebank/measure/measure.h
@@ -130,6 +130,51 @@
 Result RunTrace(const Workload& workload, const Setup& setup,
                 const std::vector<Request>& trace);
 
+// LimitsFault is what goes wrong while limits are split over pools.
+enum class LimitsFault : uint8_t {
+  kNone,
+  kLossyLinks,        // 20 % lost, 10 % doubled, up to 1.2 s late
+  kCoordinatorLost,   // with the pool's scheduler; another one 3 s later
+  kCoordinatorMoved,  // some learn of the new one up to 3 s later than others
+  kPoolCut,           // one pool's scheduler and the coordinator, for 10 s
+};
+
+// Name returns a short name.
+std::string Name(LimitsFault fault);
+
+// LimitsSetup is a run of one organisation that uses several pools. A fault
+// begins at a third of the run.
+struct LimitsSetup {
+  contracts::Contract contract{};
+  std::vector<double> requests_per_second{};  // by pool
+  // The load moves on to the next pools at this pace.
+  Duration rotation = std::chrono::seconds(15);
+  Duration service = std::chrono::seconds(1);  // of one request
+  int64_t cost = 100;                          // tokens of one request
+  LimitsFault fault = LimitsFault::kNone;
+  bool split = true;  // false: each pool applies the limits by itself
+  Duration length = std::chrono::seconds(60);
+  uint64_t seed = 1;
+};
+
+// LimitsResult is what a run of split limits measured. An excess is the most
+// that any span of time saw above the limit's rate times its length; 0 without
+// such a limit.
+struct LimitsResult {
+  uint64_t arrived = 0;  // requests
+  uint64_t started = 0;  // requests
+  uint64_t peak_running = 0;
+  double excess_requests = 0;
+  double excess_tokens = 0;
+  double use = 0;         // of the tightest limit, while requests wait
+  double starvation = 0;  // longest time without a start while requests wait
+  double bytes = 0;       // of quota messages a node and second
+  uint64_t messages = 0;  // about quotas
+};
+
+// RunLimits drives schedulers and coordinators of limits.
+LimitsResult RunLimits(const LimitsSetup& setup);
+
 }  // namespace samphirebank::measure
 
 #endif  // SAMPHIREBANK_MEASURE_MEASURE_H_
--- a/samphirebank/scheduler/demand.cc
+++ b/samphirebank/scheduler/demand.cc
@@ -54,8 +54,10 @@
 void NoteQueue(Router& router, const RouterOrganisation& source) {
   const Organisation& organisation = *source.organisation;
   const uint32_t most = organisation.limits.queue_length;
-  if (most == 0 || organisation.waiting * 2 < most) return;
-  const uint64_t elsewhere = organisation.waiting - source.waiting;
+  const uint64_t waiting =
+      organisation.waiting + organisation.quota.waiting_elsewhere;
+  if (most == 0 || waiting * 2 < most) return;
+  const uint64_t elsewhere = waiting - source.waiting;
   if (elsewhere == 0) return;
   router.notices.push_back(sharing::QueueNotice{
       .organisation = organisation.id,
--- a/samphirebank/scheduler/grants.cc
+++ b/samphirebank/scheduler/grants.cc
@@ -279,6 +279,7 @@
   Scheduler& scheduler = *state;
   std::vector<Outgoing> out;
   Sweep(scheduler, now);
+  internal::LapseQuotas(scheduler, now);
   if (now - scheduler.created_at >= scheduler.options.rebuild_time) {
     EndRebuild(scheduler, now);
     Unblock(scheduler, now);
--- a/samphirebank/scheduler/internal/state.h
+++ b/samphirebank/scheduler/internal/state.h
@@ -5,6 +5,7 @@
 #ifndef SAMPHIREBANK_SCHEDULER_INTERNAL_STATE_H_
 #define SAMPHIREBANK_SCHEDULER_INTERNAL_STATE_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -16,6 +17,7 @@
 
 #include "samphirebank/capacity/capacity.h"
 #include "samphirebank/placement/placement.h"
+#include "samphirebank/quota/quota.h"
 #include "samphirebank/scheduler/scheduler.h"
 
 namespace samphirebank::scheduler {
@@ -30,6 +32,18 @@
   uint32_t concurrency = 0;
   uint32_t queue_length = 0;
   int64_t tokens_per_minute = 0;
+  bool spans_pools = false;  // the contract allows further pools
+  bool split = false;        // this pool has only a quota of the limits
+};
+
+// QuotaRecord is the quota that this pool may use of an organisation's limits.
+struct QuotaRecord {
+  sharing::Quota quota{};
+  uint64_t used_from = 0;          // the ask whose answer gave it
+  std::optional<TimePoint> until;  // in Scheduler::lapsing
+  uint32_t waiting_elsewhere = 0;  // requests, in other pools
+  uint64_t returned_in = 0;        // the newest ask that gave quota back
+  bool returned = false;           // by the newest ask that told its state
 };
 
 // Bucket is a token bucket; its level may fall below 0.
@@ -78,6 +92,7 @@
   TimePoint left_at{};  // when it stopped being ready for want of requests
   bool seeded = false;  // its counter is known
   std::optional<TimePoint> blocked_until{};  // in Scheduler::blocked
+  QuotaRecord quota{};
   // Shared with the other region's scheduler.
   uint32_t share_generation = 0;
   int64_t charged = 0;  // tokens, here
@@ -164,6 +179,17 @@
   bool wants_slots = false;
 };
 
+// QuotaGroup is the exchange with one coordinator of limits.
+struct QuotaGroup {
+  std::optional<sharing::CoordinatorId> coordinator{};
+  uint64_t last_ask = 0;
+  std::map<uint64_t, TimePoint> sent_at{};
+  TimePoint asked_at{};
+  bool urgent = false;                   // a member has no quota yet
+  std::set<OrganisationId> members{};    // whose state is told
+  std::optional<OrganisationId> next{};  // the round goes on there
+};
+
 struct Scheduler {
   Options options{};
   PoolId pool{};
@@ -180,6 +206,10 @@
   std::set<std::tuple<double, uint64_t, Organisation*>> ready{};
   // Organisations whose rate limits bind, by the time when they end.
   std::set<std::tuple<TimePoint, uint64_t, Organisation*>> blocked{};
+  std::array<QuotaGroup, quota::kGroups> quota_groups{};
+  // Organisations with a quota, by the time when it expires.
+  std::set<std::tuple<TimePoint, uint64_t, Organisation*>> lapsing{};
+  size_t pools = 0;  // of the fleet
   // Targets with room, by load.
   std::set<std::tuple<double, uint64_t, Target*>> free{};
   // Routers that are owed an answer, by the time when it is due.
@@ -273,6 +303,30 @@
 std::optional<TimePoint> BlockedUntil(Organisation& organisation,
                                       TimePoint now);
 
+// FillBuckets brings an organisation's token buckets to `now`.
+void FillBuckets(Organisation& organisation, TimePoint now);
+
+// Owes says whether an organisation used more tokens than its limit allows.
+bool Owes(const Organisation& organisation);
+
+// LacksQuota says whether an organisation's limits are split and this pool has
+// no part of one of them.
+bool LacksQuota(const Organisation& organisation);
+
+// ConcurrencyLimit is how many requests may run here; 0: LacksQuota or none.
+uint64_t ConcurrencyLimit(const Organisation& organisation);
+
+// FollowQuota notes whether the coordinator of its limits must be told of an
+// organisation.
+void FollowQuota(Scheduler& scheduler, Organisation& organisation);
+
+// LapseQuotas ends the quotas that are over.
+void LapseQuotas(Scheduler& scheduler, TimePoint now);
+
+// UseCoordinators takes the coordinators from the configuration.
+void UseCoordinators(Scheduler& scheduler,
+                     const contracts::Configuration& configuration);
+
 // TakeRate counts `requests` (may be 0) and `tokens` (may be negative)
 // against the rate limits.
 void TakeRate(Organisation& organisation, uint32_t requests, int64_t tokens);
--- a/samphirebank/scheduler/rates.cc
+++ b/samphirebank/scheduler/rates.cc
@@ -27,20 +27,68 @@
          std::chrono::milliseconds(1);
 }
 
+// RequestRate and TokenRate are what this pool may use, a second.
+double RequestRate(const Organisation& organisation) {
+  if (!organisation.limits.split) {
+    return organisation.limits.requests_per_second;
+  }
+  return static_cast<double>(
+             organisation.quota.quota.millirequests_per_second) /
+         1000;
+}
+
+double TokenRate(const Organisation& organisation) {
+  const double limit =
+      organisation.limits.split
+          ? static_cast<double>(organisation.quota.quota.tokens_per_minute)
+          : static_cast<double>(organisation.limits.tokens_per_minute);
+  return limit / 60;
+}
+
 }  // namespace
 
+void FillBuckets(Organisation& organisation, TimePoint now) {
+  if (organisation.limits.requests_per_second > 0) {
+    const double rate = RequestRate(organisation);
+    Fill(organisation.requests, rate, 1 + rate / 10, now);
+  }
+  if (organisation.limits.tokens_per_minute > 0) {
+    const double rate = TokenRate(organisation);
+    Fill(organisation.tokens, rate, rate, now);
+  }
+}
+
+bool Owes(const Organisation& organisation) {
+  return organisation.limits.tokens_per_minute > 0 &&
+         organisation.tokens.level < 0;
+}
+
+bool LacksQuota(const Organisation& organisation) {
+  const Limits& limits = organisation.limits;
+  const sharing::Quota& quota = organisation.quota.quota;
+  if (!limits.split) return false;
+  return (limits.requests_per_second > 0 &&
+          quota.millirequests_per_second == 0) ||
+         (limits.tokens_per_minute > 0 && quota.tokens_per_minute == 0) ||
+         (limits.concurrency > 0 && quota.concurrency == 0);
+}
+
+uint64_t ConcurrencyLimit(const Organisation& organisation) {
+  const Limits& limits = organisation.limits;
+  if (limits.concurrency == 0 || !limits.split) return limits.concurrency;
+  return organisation.quota.quota.concurrency;
+}
+
 std::optional<TimePoint> BlockedUntil(Organisation& organisation,
                                       TimePoint now) {
+  FillBuckets(organisation, now);
   Duration wait = Duration::zero();
   if (organisation.limits.requests_per_second > 0) {
-    const double rate = organisation.limits.requests_per_second;
-    Fill(organisation.requests, rate, 1 + rate / 10, now);
+    const double rate = RequestRate(organisation);
     wait = std::max(wait, Wait(organisation.requests, rate, 1));
   }
   if (organisation.limits.tokens_per_minute > 0) {
-    const double rate =
-        static_cast<double>(organisation.limits.tokens_per_minute) / 60;
-    Fill(organisation.tokens, rate, rate, now);
+    const double rate = TokenRate(organisation);
     wait = std::max(wait, Wait(organisation.tokens, rate, rate / 100));
   }
   if (wait == Duration::zero()) return std::nullopt;
--- a/samphirebank/scheduler/records.cc
+++ b/samphirebank/scheduler/records.cc
@@ -53,7 +53,7 @@
 }
 
 bool AtConcurrency(const Organisation& organisation) {
-  const uint32_t most = organisation.limits.concurrency;
+  const uint64_t most = ConcurrencyLimit(organisation);
   return most != 0 && organisation.running + organisation.reserved >= most;
 }
 
@@ -98,6 +98,7 @@
 
 void Place(Scheduler& scheduler, Organisation& organisation, TimePoint now) {
   CountActive(scheduler, organisation);
+  FollowQuota(scheduler, organisation);
   LeaveBlocked(scheduler, organisation);
   if (organisation.sources.empty()) {
     if (organisation.ready) organisation.left_at = now;
@@ -105,7 +106,8 @@
     return;
   }
   std::optional<TimePoint> until;
-  const bool bound = !organisation.allowed || AtConcurrency(organisation);
+  const bool bound = !organisation.allowed || LacksQuota(organisation) ||
+                     AtConcurrency(organisation);
   if (!bound) until = BlockedUntil(organisation, now);
   if (!bound && !until) {
     EnterReady(scheduler, organisation, now);
@@ -219,7 +221,8 @@
   std::erase_if(scheduler.organisations, [&](const auto& item) {
     const Organisation& organisation = item.second;
     return organisation.references == 0 && !organisation.ready &&
-           !organisation.active && organisation.counter <= scheduler.floor;
+           !organisation.active && !organisation.quota.until &&
+           organisation.counter <= scheduler.floor;
   });
 }
 
--- a/samphirebank/scheduler/scheduler.cc
+++ b/samphirebank/scheduler/scheduler.cc
@@ -7,18 +7,22 @@
 namespace samphirebank::scheduler {
 namespace {
 
-template <typename Id>
-bool Allows(const std::vector<Id>& listed, const Id& wanted) {
-  if (listed.empty()) return true;
-  return std::find(listed.begin(), listed.end(), wanted) != listed.end();
-}
-
-Limits LimitsOf(const contracts::Contract& contract) {
+Limits LimitsOf(const contracts::Contract& contract,
+                const contracts::Configuration& configuration) {
+  const bool spans_pools = quota::SpansPools(contract, configuration);
   return Limits{.weight = std::max<uint32_t>(1, contract.weight),
                 .requests_per_second = contract.requests_per_second,
                 .concurrency = contract.concurrency,
                 .queue_length = contract.queue_length,
-                .tokens_per_minute = contract.tokens_per_minute};
+                .tokens_per_minute = contract.tokens_per_minute,
+                .spans_pools = spans_pools,
+                .split = spans_pools && quota::IsLimited(contract)};
+}
+
+template <typename Id>
+bool Allows(const std::vector<Id>& listed, const Id& wanted) {
+  if (listed.empty()) return true;
+  return std::find(listed.begin(), listed.end(), wanted) != listed.end();
 }
 
 void TakeContracts(Scheduler& scheduler,
@@ -28,7 +32,7 @@
     const contracts::Contract& contract = record.value;
     if (!Allows(contract.services, scheduler.pool.service)) continue;
     if (!Allows(contract.regions, scheduler.pool.region)) continue;
-    scheduler.contracts.emplace(id, LimitsOf(contract));
+    scheduler.contracts.emplace(id, LimitsOf(contract, configuration));
   }
 }
 
@@ -57,6 +61,7 @@
   if (configuration.revision <= scheduler.revision) return;
   scheduler.revision = configuration.revision;
   TakeContracts(scheduler, configuration);
+  internal::UseCoordinators(scheduler, configuration);
   for (auto& [id, organisation] : scheduler.organisations) {
     internal::UseLimits(scheduler, organisation);
     internal::Place(scheduler, organisation, now);
--- a/samphirebank/scheduler/scheduler.h
+++ b/samphirebank/scheduler/scheduler.h
@@ -121,6 +121,16 @@
 // BuildCounterShare returns the message for the scheduler of `to`.
 OutgoingShare BuildCounterShare(State& state, const PoolId& to, TimePoint now);
 
+// BuildQuotaAsks returns the messages for the coordinators of organisations'
+// limits that are due now: none while no organisation with limits over several
+// pools has work here. Each is for the instance that holds the scheduler
+// assignment which the ask's `to` names.
+std::vector<sharing::QuotaAsk> BuildQuotaAsks(State& state, TimePoint now);
+
+// OnQuotaGrant takes a coordinator's answer.
+void OnQuotaGrant(State& state, const sharing::QuotaGrant& grant,
+                  TimePoint now);
+
 // Summarize returns the state in numbers.
 Summary Summarize(const State& state);
 
