Count what waits at a router over all its pools

A contract's queue length was compared with one pool's queue and what its scheduler told. The router knows what waits in its other pools at once, without any word: queue_test "a queue's length holds over all pools of this router".

--- a/samphirebank/queue/queue.cc
+++ b/samphirebank/queue/queue.cc
@@ -41,13 +41,20 @@
       .retry_after = std::clamp(wait, kLeastRetryAfter, kLargestRetryAfter)};
 }
 
-bool QueueFull(const OrganisationQueue& organisation, const Limits& limits,
+// QueueFull counts what waits in this pool's queue and, as its scheduler told,
+// elsewhere; or what waits here over all pools, which needs no word of others.
+bool QueueFull(const State& state, const Request& request,
+               const OrganisationQueue& organisation, const Limits& limits,
                TimePoint now) {
   if (limits.queue_length == 0) return false;
   size_t waiting = organisation.waiting.size();
   if (now < organisation.elsewhere_until) {
     waiting += organisation.waiting_elsewhere;
   }
+  const auto here = state.waiting_of.find(request.organisation);
+  if (here != state.waiting_of.end()) {
+    waiting = std::max<size_t>(waiting, here->second);
+  }
   return waiting >= limits.queue_length;
 }
 
@@ -55,7 +62,8 @@
                                  const OrganisationQueue& organisation,
                                  const Limits& limits, TimePoint now) {
   if (request.deadline <= now) return RefusalKind::kDeadlinePast;
-  if (QueueFull(organisation, limits, now)) return RefusalKind::kQueueFull;
+  if (QueueFull(state, request, organisation, limits, now))
+    return RefusalKind::kQueueFull;
   if (state.waiting.size() >= state.options.max_waiting) {
     return RefusalKind::kRouterFull;
   }
--- a/samphirebank/queue/queue.h
+++ b/samphirebank/queue/queue.h
@@ -184,6 +184,8 @@
   // Where a waiting request stands.
   std::unordered_map<RequestId, std::list<WaitingRequest>::iterator> waiting{};
   std::set<std::pair<TimePoint, RequestId>> deadlines{};  // of those waiting
+  // Requests that wait here, over all pools, of organisations with any.
+  std::unordered_map<OrganisationId, uint32_t> waiting_of{};
   uint32_t last_generation = 0;
 };
 
--- a/samphirebank/queue/queue_test.cc
+++ b/samphirebank/queue/queue_test.cc
@@ -192,5 +192,19 @@
   CHECK(again[0].id == RequestId("a"));
 }
 
+TEST_CASE("a queue's length holds over all pools of this router") {
+  State state = Started();
+  Request other = Make("other");
+  other.pool.service = ServiceId("another");
+  const Limits limits{.queue_length = 2};
+  CHECK(!Enqueue(state, Make("a"), limits, kStart));
+  CHECK(!Enqueue(state, other, limits, kStart));
+  const auto refusal = Enqueue(state, Make("b"), limits, kStart);
+  REQUIRE(refusal);
+  CHECK(refusal->kind == RefusalKind::kQueueFull);
+  Remove(state, RequestId("other"), kStart);
+  CHECK(!Enqueue(state, Make("b"), limits, kStart));
+}
+
 }  // namespace
 }  // namespace samphirebank::queue
--- a/samphirebank/queue/records.cc
+++ b/samphirebank/queue/records.cc
@@ -72,6 +72,9 @@
   organisation.waiting_estimate -= taken.request.estimate.value;
   pool.waiting -= 1;
   state.waiting.erase(taken.request.id);
+  const auto waiting_of = state.waiting_of.find(taken.request.organisation);
+  waiting_of->second -= 1;
+  if (waiting_of->second == 0) state.waiting_of.erase(waiting_of);
   state.deadlines.erase({taken.request.deadline, taken.request.id});
   return taken;
 }
@@ -82,6 +85,7 @@
   if (organisation.waiting.empty()) organisation.backlogged_since = now;
   organisation.waiting_estimate += request.request.estimate.value;
   pool.waiting += 1;
+  state.waiting_of[request.request.organisation] += 1;
   state.deadlines.emplace(request.request.deadline, request.request.id);
   const RequestId id = request.request.id;
   state.waiting[id] = organisation.waiting.insert(position, std::move(request));
