Count grants whole in the fairness measurement

The bytes of a grant were taken after its items had been moved away (the order in which arguments are evaluated), and addresses were empty: too low a figure.

--- a/samphirebank/measure/scheduled.cc
+++ b/samphirebank/measure/scheduled.cc
@@ -57,6 +57,11 @@
   return TargetId("target-" + std::to_string(target));
 }
 
+// AddressOf is as long on the wire as a real instance's or target's.
+net::SocketAddress AddressOf(uint32_t number) {
+  return {.ip = "10.0.128." + std::to_string(number), .port = 8080};
+}
+
 uint32_t TargetNumber(const TargetId& id) {
   return static_cast<uint32_t>(std::stoul(id.value.substr(7)));
 }
@@ -104,7 +109,8 @@
        scheduler::Tick(policy.scheduler, fleet.now)) {
     const auto router =
         static_cast<uint32_t>(std::stoul(out.router.value.substr(7)));
-    Deliver(fleet, policy, policy.holder, router, PayloadBytes(out.grant),
+    const double bytes = PayloadBytes(out.grant);
+    Deliver(fleet, policy, policy.holder, router, bytes,
             [&fleet, &policy, router, grant = std::move(out.grant)] {
               TakeGrant(fleet, policy, router, grant);
             });
@@ -157,6 +163,7 @@
   sharing::TargetState report{
       .pool = policy.pool,
       .target = TargetName(target),
+      .address = AddressOf(target),
       .incarnation = 1,
       .sequence = ++policy.report_numbers[target],
       .intent = reporter.leaving ? contracts::TargetIntent::kLeaving
@@ -186,6 +193,7 @@
 void StartRouter(Fleet& fleet, Scheduled& policy, uint32_t router) {
   Router& started = policy.routers[router];
   started.state = queue::State{};
+  started.state.options.reply_to = AddressOf(router);
   if (fleet.setup.variant == Variant::kBatched) {
     started.state.options.backlog_spacing = milliseconds(300);
     started.state.options.usage_interval = milliseconds(2000);
