Tell an organisation's counter only in full demands

Only a scheduler that knows nothing takes the counter back, and it takes it from full demands alone; 9 B in each told organisation were for nothing.

--- a/samphirebank/queue/exchange.cc
+++ b/samphirebank/queue/exchange.cc
@@ -37,8 +37,9 @@
       .generation = organisation.generation,
       .waiting = static_cast<uint32_t>(organisation.waiting.size()),
       .running = organisation.running,
-      .charged = organisation.charged,
-      .counter = organisation.counter};
+      .charged = organisation.charged};
+  // Only a scheduler that knows nothing takes it.
+  if (pool.full_due) demand.counter = organisation.counter;
   demand.cost_known = internal::CostKnown(pool, id);
   if (organisation.waiting.empty()) return demand;
   const WaitingRequest& oldest = organisation.waiting.front();
--- a/samphirebank/sharing/sharing.h
+++ b/samphirebank/sharing/sharing.h
@@ -71,7 +71,7 @@
   uint32_t oldest_age_ms = 0;  // of the request that waits longest
   uint64_t prefix = 0;         // hash of that request's prefix; 0: none
   int64_t charged = 0;         // tokens: seen or, while more, estimated
-  double counter = 0;          // the newest counter a grant told this router
+  double counter = 0;          // the newest that a grant told; in full demands
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
