--- a/samphirebank/net/header_fields.cc
+++ b/samphirebank/net/header_fields.cc
@@ -33,6 +33,7 @@
 constexpr std::array<std::string_view, 9> kCustomFields = {
     "change-id:",
     "idempotency-key:",
+    "operator:",
     "samphirebank-fence:",
     "samphirebank-fence-scope:",
     "samphirebank-not-run:",
--- a/samphirebank/router/router_process_test.cc
+++ b/samphirebank/router/router_process_test.cc
@@ -390,69 +390,68 @@
     "a frozen router's late order does not run where fencing is checked") {
   CHECK(RunsOfLateOrder(true) == 0);
   CHECK(RunsOfLateOrder(false) == 1);
+}
 
-  // RunFour calls both models at both routers and returns how long the four
-  // calls of a second each took.
-  double RunFour(const Fleet& fleet) {
-    const auto begin = std::chrono::steady_clock::now();
-    std::vector<int> streams;
-    for (const Entry& entry : fleet.entries) {
-      for (const char* model : {"small", "large"}) {
-        streams.push_back(testing::Begin(
-            entry.caller, Fleet::ModelCall("guides", 100, model)));
-      }
+// RunFour calls both models at both routers and returns how long the four
+// calls of a second each took.
+double RunFour(const Fleet& fleet) {
+  const auto begin = std::chrono::steady_clock::now();
+  std::vector<int> streams;
+  for (const Entry& entry : fleet.entries) {
+    for (const char* model : {"small", "large"}) {
+      streams.push_back(
+          testing::Begin(entry.caller, Fleet::ModelCall("guides", 100, model)));
     }
-    for (const int stream : streams) CHECK(testing::End(stream).whole);
-    const std::chrono::duration<double> span =
-        std::chrono::steady_clock::now() - begin;
-    return span.count();
   }
+  for (const int stream : streams) CHECK(testing::End(stream).whole);
+  const std::chrono::duration<double> span =
+      std::chrono::steady_clock::now() - begin;
+  return span.count();
+}
 
-  TEST_CASE("one request at once holds over two models and two routers") {
-    Fleet fleet(8);
-    fleet.Contracts({"guides"}, R"(,"concurrency":1)");
-    const Entry& entry = fleet.entries[1];
-    REQUIRE(testing::WaitUntil([&] {
-      return Ask(entry.caller, Fleet::ModelCall("guides", 1, "large")).status ==
-             200;
-    }));
-    CHECK(RunFour(fleet) >= 3.5);  // one after the other
-    // Whichever schedules, or splits the limit: it is lost with all it knew.
-    fleet.entries[0].process->Signal(SIGKILL);
-    fleet.entries[0].process->Wait();
-    fleet.StartEntry(0);
-    fleet.Ready("guides");
-    CHECK(RunFour(fleet) >= 3.5);
-  }
+TEST_CASE("one request at once holds over two models and two routers") {
+  Fleet fleet(8);
+  fleet.Contracts({"guides"}, R"(,"concurrency":1)");
+  const Entry& entry = fleet.entries[1];
+  REQUIRE(testing::WaitUntil([&] {
+    return Ask(entry.caller, Fleet::ModelCall("guides", 1, "large")).status ==
+           200;
+  }));
+  CHECK(RunFour(fleet) >= 3.5);  // one after the other
+  // Whichever schedules, or splits the limit: it is lost with all it knew.
+  fleet.entries[0].process->Signal(SIGKILL);
+  fleet.entries[0].process->Wait();
+  fleet.StartEntry(0);
+  fleet.Ready("guides");
+  CHECK(RunFour(fleet) >= 3.5);
+}
 
-  TEST_CASE("each port refuses whom it does not know, and keys stay secret") {
-    Fleet fleet(8);
-    fleet.Contracts({"guides"});
-    const Entry& entry = fleet.entries[0];
-    CHECK(Ask(entry.admin, {.path = "/status"}).status == 401);
-    CHECK(Ask(entry.admin, {.path = "/status", .headers = {kTarget}}).status ==
-          401);
-    CHECK(
-        Ask(entry.admin, {.path = "/status", .headers = {kOperator}}).status ==
+TEST_CASE("each port refuses whom it does not know, and keys stay secret") {
+  Fleet fleet(8);
+  fleet.Contracts({"guides"});
+  const Entry& entry = fleet.entries[0];
+  CHECK(Ask(entry.admin, {.path = "/status"}).status == 401);
+  CHECK(Ask(entry.admin, {.path = "/status", .headers = {kTarget}}).status ==
+        401);
+  CHECK(Ask(entry.admin, {.path = "/status", .headers = {kOperator}}).status ==
         200);
-    CHECK(Ask(entry.admin, {.method = "POST",
-                            .path = "/targets/v1/announce",
-                            .headers = {kOperator},
-                            .body = "{}"})
-              .status == 401);
-    const Reply faults = Ask(entry.admin, {.method = "POST",
-                                           .path = "/targets/v1/announce",
-                                           .headers = {kTarget},
-                                           .body = "{}"});
-    CHECK(faults.status == 400);
-    CHECK(Has(faults, "\"place\":\"region\""));
-    CHECK(Has(faults, "\"place\":\"services\""));
-    CHECK(Ask(entry.caller, Fleet::ModelCall("desks", 1)).status == 401);
-    const std::string grep =
-        "grep -rqE 'key-of-|operator-token|target-token' " +
-        fleet.folder.path() + "/r1.log";
-    CHECK(std::system(grep.c_str()) != 0);
-  }
+  CHECK(Ask(entry.admin, {.method = "POST",
+                          .path = "/targets/v1/announce",
+                          .headers = {kOperator},
+                          .body = "{}"})
+            .status == 401);
+  const Reply faults = Ask(entry.admin, {.method = "POST",
+                                         .path = "/targets/v1/announce",
+                                         .headers = {kTarget},
+                                         .body = "{}"});
+  CHECK(faults.status == 400);
+  CHECK(Has(faults, "\"place\":\"region\""));
+  CHECK(Has(faults, "\"place\":\"services\""));
+  CHECK(Ask(entry.caller, Fleet::ModelCall("desks", 1)).status == 401);
+  const std::string grep = "grep -rqE 'key-of-|operator-token|target-token' " +
+                           fleet.folder.path() + "/r1.log";
+  CHECK(std::system(grep.c_str()) != 0);
+}
 
 }  // namespace
 }  // namespace samphirebank::router
