Wait out the old scheduler's grants where targets ignore fencing

A new scheduler granted after 1 s. An old holder cut off from control but not from a router acts until its lease ends, 3.01 s after the replacement was accepted with drift, and its last grant lives another 800 ms: by up to 2.8 s both gave work to the same target. The test drives the old scheduler, a router's queue and the new scheduler; without the wait it fails (first grant at 1 s, last old order at 3.81 s). Ruled out as enough: the 2 s of silence before a replacement, because a holder that gets its lease from other routers is not heard by control, and a draining holder is replaced at once.

Targets that announce checks_fencing are granted after 1 s as before.

--- a/samphirebank/router/pools.cc
+++ b/samphirebank/router/pools.cc
@@ -182,8 +182,10 @@
     if (IsLost(router, pool, assignment.epoch)) continue;
     router.lost_epochs.erase(pool);
     if (FindScheduler(router, pool) == nullptr) {
+      const scheduler::Options options{
+          .old_lease = lease::InForceAfter(router.holder.options.terms)};
       router.schedulers.emplace(
-          pool, scheduler::Create({}, pool, assignment.epoch, now));
+          pool, scheduler::Create(options, pool, assignment.epoch, now));
       router.scheduled_epochs[pool] = assignment.epoch;
       events::Log({.number = events::Number::kSchedulerStarted,
                    .service = pool.service,
--- a/samphirebank/scheduler/scheduler.h
+++ b/samphirebank/scheduler/scheduler.h
@@ -46,6 +46,10 @@
   Duration router_timeout = std::chrono::seconds(5);
   // A new scheduler waits this long for full reports before it grants.
   Duration rebuild_time = std::chrono::milliseconds(1000);
+  // How long after its replacement an older scheduler of the pool, or a router
+  // that follows it, may still act. For targets that ignore fencing numbers a
+  // new scheduler waits out this and the grants made until then.
+  Duration old_lease = Duration::zero();
   // Acknowledgements without grants are held back this long.
   Duration acknowledge_after = std::chrono::milliseconds(200);
   // Requests that may wait in a target, so that its batch stays full.
--- a/samphirebank/scheduler/scheduler_test.cc
+++ b/samphirebank/scheduler/scheduler_test.cc
@@ -7,6 +7,9 @@
 #include <utility>
 #include <vector>
 
+#include "samphirebank/lease/lease.h"
+#include "samphirebank/queue/queue.h"
+
 namespace samphirebank::scheduler {
 namespace {
 
@@ -43,22 +46,25 @@
   }
 
   void Report(const std::string& target, uint32_t slots,
-              TargetIntent intent = TargetIntent::kServing) {
+              TargetIntent intent = TargetIntent::kServing,
+              const sharing::TargetTraits& traits = {}) {
     OnTargetState(this->state,
                   {.pool = kPool,
                    .target = TargetId(target),
                    .incarnation = 1,
                    .sequence = ++this->sequences[target],
                    .intent = intent,
-                   .slots = slots},
+                   .slots = slots,
+                   .traits = traits},
                   this->now);
   }
 
   void Ask(const std::string& router,
            std::vector<sharing::OrganisationDemand> organisations,
-           std::vector<sharing::TargetUse> uses = {}, uint64_t grants = 0) {
+           std::vector<sharing::TargetUse> uses = {}, uint64_t grants = 0,
+           Epoch epoch = Epoch(1)) {
     sharing::Demand demand{.pool = kPool,
-                           .epoch = Epoch(1),
+                           .epoch = epoch,
                            .sequence = ++this->sequences[router],
                            .full = this->sequences[router] == 1,
                            .organisations = std::move(organisations),
@@ -259,6 +265,55 @@
   CHECK(Summarize(bench.state).running == 0);
 }
 
+// LastOldOrder is until when a router may send what the old scheduler granted
+// it at `at`, when both are cut off from everyone else.
+TimePoint LastOldOrder(TimePoint at) {
+  Bench old;
+  old.now = at;
+  queue::State router;
+  queue::OnEpoch(router, kPool, Epoch(1), at);
+  queue::Enqueue(router,
+                 {.id = RequestId("q"),
+                  .pool = kPool,
+                  .organisation = OrganisationId("a"),
+                  .deadline = at + seconds(60)},
+                 {}, at);
+  old.Report("ignores", 1);
+  OnDemand(old.state, InstanceId("r1"), BootId(1),
+           queue::BuildDemand(router, kPool, at), at);
+  std::vector<queue::Dispatch> dispatches;
+  for (const Outgoing& out : Tick(old.state, at)) {
+    for (const auto& dispatch : queue::ApplyGrant(router, out.grant, at)) {
+      dispatches.push_back(dispatch);
+    }
+  }
+  REQUIRE(dispatches.size() == 1);
+  return dispatches.front().expires;
+}
+
+TEST_CASE("a new scheduler waits out the old one where fencing is ignored") {
+  const Duration old_lease = lease::InForceAfter({});
+  const TimePoint last = LastOldOrder(kStart + old_lease);
+  Bench bench;
+  bench.state = Create({.old_lease = old_lease, .headroom = 0}, kPool, Epoch(2),
+                       kStart);
+  OnConfiguration(bench.state, bench.configuration, kStart);
+  std::map<std::string, TimePoint> first;
+  for (; first.size() < 2; bench.now += milliseconds(10)) {
+    REQUIRE(bench.now < kStart + seconds(10));
+    bench.Report("checks", 1, TargetIntent::kServing, {.checks_fencing = true});
+    bench.Report("ignores", 1);
+    bench.Ask("r1", {Wants("a", 9)}, {}, 0, Epoch(2));
+    for (const Outgoing& out : Tick(bench.state, bench.now)) {
+      for (const auto& item : out.grant.items) {
+        first.try_emplace(item.target.value, bench.now);
+      }
+    }
+  }
+  CHECK(first["checks"] == kStart + seconds(1));
+  CHECK(first["ignores"] > last);
+}
+
 TEST_CASE("a router that was never heard is asked for everything") {
   Bench bench;
   bench.sequences["r1"] = 5;
--- a/samphirebank/scheduler/targets.cc
+++ b/samphirebank/scheduler/targets.cc
@@ -24,8 +24,24 @@
   return std::chrono::duration<double>(span).count();
 }
 
+// kDriftAllowance covers clocks that differ over a grant's lifetime.
+constexpr Duration kDriftAllowance = std::chrono::milliseconds(10);
+
+// AwaitsOldGrants says whether an order under an older epoch could still reach
+// a target that would run it.
+bool AwaitsOldGrants(const Scheduler& scheduler, const Target& target,
+                     TimePoint now) {
+  const Options& options = scheduler.options;
+  if (scheduler.epoch <= Epoch(1) || target.traits.checks_fencing) return false;
+  const Duration old_grants =
+      options.old_lease + options.grant_lifetime + kDriftAllowance;
+  return options.old_lease > Duration::zero() &&
+         now - scheduler.created_at < old_grants;
+}
+
 bool Serving(const Scheduler& scheduler, const Target& target, TimePoint now) {
   using contracts::TargetIntent;
+  if (AwaitsOldGrants(scheduler, target, now)) return false;
   if (target.far) {
     return scheduler.spilling &&
            now + scheduler.options.grant_lifetime <= target.loan_until;
