--- a/samphirebank/emulator/internal/load.h
+++ b/samphirebank/emulator/internal/load.h
@@ -50,6 +50,7 @@
   std::vector<std::string> losses;  // nonce and reason of each
   std::vector<double> first_byte_ms;
   std::vector<double> whole_ms;
+  std::vector<double> token_gap_ms;  // between two pieces of a stream
 };
 
 // Percentile returns the value below which `share` of the values lie; 0 for
--- a/samphirebank/emulator/load.cc
+++ b/samphirebank/emulator/load.cc
@@ -34,6 +34,7 @@
   int status = 0;
   std::string body;
   std::optional<TimePoint> first_byte;
+  TimePoint last_byte;
 };
 
 // Generator sends the mixes' requests and tallies what comes back.
@@ -120,11 +121,8 @@
                sending->status = status;
              },
          .on_data =
-             [sending](std::string_view piece) {
-               if (!sending->first_byte) {
-                 sending->first_byte = net::Loop::Now();
-               }
-               sending->body += piece;
+             [this, sending](std::string_view piece) {
+               this->OnPiece(*sending, piece);
              },
          .on_end = [this, sending] { this->OnEnd(sending); },
          .on_error =
@@ -133,6 +131,18 @@
              }});
   }
 
+  void OnPiece(Sending& sending, std::string_view piece) {
+    const TimePoint now = net::Loop::Now();
+    if (!sending.first_byte) {
+      sending.first_byte = now;
+    } else if (sending.stream) {
+      this->tallies[sending.organisation].token_gap_ms.push_back(
+          Milliseconds(now - sending.last_byte));
+    }
+    sending.last_byte = now;
+    sending.body += piece;
+  }
+
   std::string Path(const Sending& sending) const {
     const OrganisationMix& mix = this->mixes[sending.organisation];
     if (mix.model) return "/v1/chat/completions";
--- a/samphirebank/emulator/load_report.cc
+++ b/samphirebank/emulator/load_report.cc
@@ -81,7 +81,9 @@
          {"first_byte_ms_p50", Percentile(tally.first_byte_ms, kMedian)},
          {"first_byte_ms_p95", Percentile(tally.first_byte_ms, kTail)},
          {"whole_ms_p50", Percentile(tally.whole_ms, kMedian)},
-         {"whole_ms_p95", Percentile(tally.whole_ms, kTail)}});
+         {"whole_ms_p95", Percentile(tally.whole_ms, kTail)},
+         {"token_gap_ms_p50", Percentile(tally.token_gap_ms, kMedian)},
+         {"token_gap_ms_p95", Percentile(tally.token_gap_ms, kTail)}});
   }
   return nlohmann::ordered_json{{"organisations", all}}.dump() + "\n";
 }
--- a/samphirebank/router/callers.cc
+++ b/samphirebank/router/callers.cc
@@ -249,6 +249,7 @@
   const std::shared_ptr<CallerRequest> request = found->second;
   request->events.push_back(std::move(event));
   if (request->stepping) return;
+  const WorkScope scope(router.work, Work::kRequests);
   request->stepping = true;
   while (!request->events.empty()) {
     const outcome::Event next = std::move(request->events.front());
--- a/samphirebank/router/internal/metrics.h
+++ b/samphirebank/router/internal/metrics.h
@@ -39,6 +39,13 @@
       {.name = "peer_bytes_sent_total", .help = "Bytes to instances."});
   metrics::Counter& packet_bytes_received = this->registry.AddCounter(
       {.name = "peer_bytes_received_total", .help = "Bytes from instances."});
+  metrics::Counter& packets_received =
+      this->registry.AddCounter({.name = "peer_packets_received_total",
+                                 .help = "Packets from instances."});
+  metrics::Counter& control_cpu = this->registry.AddCounter(
+      {.name = "control_cpu_nanoseconds_total",
+       .help = "Processor time of sharing, configuration and packets, without "
+               "callers' requests."});
   metrics::Counter& packets_refused = this->registry.AddCounter(
       {.name = "peer_packets_refused_total",
        .help = "Packets that were forged, replayed, truncated or malformed."});
--- a/samphirebank/router/internal/state.h
+++ b/samphirebank/router/internal/state.h
@@ -26,6 +26,7 @@
 #include "samphirebank/relay/relay.h"
 #include "samphirebank/retry/retry.h"
 #include "samphirebank/router/internal/metrics.h"
+#include "samphirebank/router/internal/work.h"
 #include "samphirebank/scheduler/scheduler.h"
 #include "samphirebank/settings/settings.h"
 #include "samphirebank/sharing/sharing.h"
@@ -113,6 +114,7 @@
   TimePoint drain_since;
   int exit_code = 0;
   Metrics metrics;
+  WorkAccount work{.control_cpu = this->metrics.control_cpu};
   uint16_t caller_port = 0;
   uint16_t admin_port = 0;
 };
--- a/samphirebank/router/peers.cc
+++ b/samphirebank/router/peers.cc
@@ -84,6 +84,8 @@
 
 void OnPacket(Router& router, const net::SocketAddress& from,
               std::string_view bytes) {
+  const WorkScope scope(router.work, Work::kControl);
+  router.metrics.packets_received.Add(1);
   router.metrics.packet_bytes_received.Add(bytes.size());
   const TimePoint now = net::Loop::Now();
   leaf::try_handle_all(
--- a/samphirebank/router/pools.cc
+++ b/samphirebank/router/pools.cc
@@ -271,6 +271,7 @@
 void SchedulePump(Router& router) { PumpAfter(router, Duration::zero()); }
 
 void Pump(Router& router) {
+  const WorkScope scope(router.work, Work::kControl);
   const TimePoint now = net::Loop::Now();
   PumpLease(router, now);
   RefuseExpired(router, now);
--- a/samphirebank/scheduler/scheduler_test.cc
+++ b/samphirebank/scheduler/scheduler_test.cc
@@ -295,8 +295,8 @@
   const Duration old_lease = lease::InForceAfter({});
   const TimePoint last = LastOldOrder(kStart + old_lease);
   Bench bench;
-  bench.state = Create({.old_lease = old_lease, .headroom = 0}, kPool, Epoch(2),
-                       kStart);
+  bench.state =
+      Create({.old_lease = old_lease, .headroom = 0}, kPool, Epoch(2), kStart);
   OnConfiguration(bench.state, bench.configuration, kStart);
   std::map<std::string, TimePoint> first;
   for (; first.size() < 2; bench.now += milliseconds(10)) {
--- a/scripts/measure.d/fleet.py
+++ b/scripts/measure.d/fleet.py
@@ -286,29 +286,27 @@
             connection.close()
 
     def control_bytes(self, names):
-        """Returns what routers sent and received from peers so far, with headers.
-
-        Each poll has one answer, so as many datagrams come as go.
-        """
+        """Returns what routers sent and received from peers so far, with headers."""
         total = 0
         for name in names:
             now = self.router_metrics(name)
             total += (now["peer_bytes_sent_total"] +
                       now["peer_bytes_received_total"] +
-                      2 * HEADER_BYTES * now["peer_packets_sent_total"])
+                      HEADER_BYTES * (now["peer_packets_sent_total"] +
+                                      now["peer_packets_received_total"]))
         return total
 
     # Load.
 
-    def start_load(self, ports, mixes, requests, *words):
+    def start_load(self, ports, mixes, requests, length_s=60):
         """Starts the load generator against callers' ports; see finish_load."""
         number = random.SystemRandom().getrandbits(32)
         mix_file = self.path(f"mix-{number}.json")
         with open(mix_file, "w", encoding="utf-8") as file:
             json.dump({"organisations": mixes}, file)
         command = [self.program, "load", "--organisations-file", mix_file,
-                   "--requests", str(requests), "--length-ms", "60000", "--json",
-                   *words]
+                   "--requests", str(requests), "--length-ms",
+                   str(1000 * length_s), "--json"]
         for port in ports:
             command += ["--router", f"127.0.0.1:{port}"]
         return subprocess.Popen(command, env={}, stdout=subprocess.PIPE, text=True)
