--- a/samphirebank/net/header_fields.cc
+++ b/samphirebank/net/header_fields.cc
@@ -30,11 +30,12 @@
 };
 
 // Fields that libwebsockets has no token for; it wants the colon.
-constexpr std::array<std::string_view, 9> kCustomFields = {
+constexpr std::array<std::string_view, 10> kCustomFields = {
     "change-id:",
     "idempotency-key:",
     "operator:",
     "samphirebank-fence:",
+    "samphirebank-fence-scope:",
     "samphirebank-not-run:",
     "samphirebank-request-id:",
     "samphirebank-resume-after:",
--- a/samphirebank/router/peers.cc
+++ b/samphirebank/router/peers.cc
@@ -8,6 +8,7 @@
 #include "samphirebank/router/internal/callers.h"
 #include "samphirebank/router/internal/configuration.h"
 #include "samphirebank/router/internal/pools.h"
+#include "samphirebank/router/internal/quotas.h"
 
 namespace samphirebank::router {
 namespace {
@@ -48,6 +49,16 @@
       OnCounterShare(router, share, now);
       return {};
     }
+    case wire::Kind::kQuotaAsk: {
+      BOOST_LEAF_AUTO(ask, wire::Decode<sharing::QuotaAsk>(packet));
+      OnQuotaAsk(router, ask, now);
+      return {};
+    }
+    case wire::Kind::kQuotaGrant: {
+      BOOST_LEAF_AUTO(grant, wire::Decode<sharing::QuotaGrant>(packet));
+      OnQuotaGrant(router, grant, now);
+      return {};
+    }
     case wire::Kind::kClaimReply: {
       BOOST_LEAF_AUTO(reply, wire::Decode<claims::ClaimReply>(packet));
       OnClaimReply(router, reply, now);
@@ -84,6 +95,8 @@
 
 void OnPacket(Router& router, const net::SocketAddress& from,
               std::string_view bytes) {
+  const WorkScope scope(router.work, Work::kControl);
+  router.metrics.packets_received.Add(1);
   router.metrics.packet_bytes_received.Add(bytes.size());
   const TimePoint now = net::Loop::Now();
   leaf::try_handle_all(
--- a/samphirebank/router/pools.cc
+++ b/samphirebank/router/pools.cc
@@ -11,6 +11,7 @@
 #include "samphirebank/router/internal/configuration.h"
 #include "samphirebank/router/internal/drain.h"
 #include "samphirebank/router/internal/peers.h"
+#include "samphirebank/router/internal/quotas.h"
 
 namespace samphirebank::router {
 namespace {
@@ -185,8 +186,10 @@
     if (IsLost(router, pool, assignment.epoch)) continue;
     router.lost_epochs.erase(pool);
     if (FindScheduler(router, pool) == nullptr) {
+      const scheduler::Options options{
+          .old_lease = lease::InForceAfter(router.holder.options.terms)};
       router.schedulers.emplace(
-          pool, scheduler::Create({}, pool, assignment.epoch, now));
+          pool, scheduler::Create(options, pool, assignment.epoch, now));
       router.scheduled_epochs[pool] = assignment.epoch;
       events::Log({.number = events::Number::kSchedulerStarted,
                    .service = pool.service,
@@ -250,6 +253,7 @@
   AskForLostPools(router, now);
   SendTargetStates(router, now);
   SendDemands(router, now);
+  PumpQuotas(router, now);
   SendGrants(router, now);
   SendShares(router, now);
   // What the grants started or returned may be told at once.
@@ -272,6 +276,7 @@
 void SchedulePump(Router& router) { PumpAfter(router, Duration::zero()); }
 
 void Pump(Router& router) {
+  const WorkScope scope(router.work, Work::kControl);
   const TimePoint now = net::Loop::Now();
   PumpLease(router, now);
   RefuseExpired(router, now);
--- a/samphirebank/scheduler/scheduler.h
+++ b/samphirebank/scheduler/scheduler.h
@@ -46,6 +46,10 @@
   Duration router_timeout = std::chrono::seconds(5);
   // A new scheduler waits this long for full reports before it grants.
   Duration rebuild_time = std::chrono::milliseconds(1000);
+  // How long after its replacement an older scheduler of the pool, or a router
+  // that follows it, may still act. For targets that ignore fencing numbers a
+  // new scheduler waits out this and the grants made until then.
+  Duration old_lease = Duration::zero();
   // Acknowledgements without grants are held back this long.
   Duration acknowledge_after = std::chrono::milliseconds(200);
   // Requests that may wait in a target, so that its batch stays full.
@@ -121,6 +125,16 @@
 // BuildCounterShare returns the message for the scheduler of `to`.
 OutgoingShare BuildCounterShare(State& state, const PoolId& to, TimePoint now);
 
+// BuildQuotaAsks returns the messages for the coordinators of organisations'
+// limits that are due now: none while no organisation with limits over several
+// pools has work here. Each is for the instance that holds the scheduler
+// assignment which the ask's `to` names.
+std::vector<sharing::QuotaAsk> BuildQuotaAsks(State& state, TimePoint now);
+
+// OnQuotaGrant takes a coordinator's answer.
+void OnQuotaGrant(State& state, const sharing::QuotaGrant& grant,
+                  TimePoint now);
+
 // Summarize returns the state in numbers.
 Summary Summarize(const State& state);
 
