--- a/samphirebank/control/internal/server.h
+++ b/samphirebank/control/internal/server.h
@@ -89,6 +89,7 @@
   lease::Holder holder;  // of the history it has only the revision
   InForceClock in_force;
   lease::Registry registry;
+  lease::PieceLimit pieces;
   assignment::Wanted wanted;
   std::unique_ptr<net::PeerSocket> peers;
   std::unique_ptr<Replication> replication;
--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -220,10 +220,11 @@
 }
 
 void Server::OnConfigPoll(const wire::Packet& packet) {
-  const auto poll = Decoded<lease::ConfigPoll>(packet);
+  auto poll = Decoded<lease::ConfigPoll>(packet);
   if (!poll) return;
   const TimePoint now = net::Loop::Now();
   lease::Hear(this->registry, *poll, now);
+  lease::Pace(this->pieces, this->state.contracts.history, *poll, now);
   lease::ConfigUpdate update =
       lease::Answer(this->state.contracts.history, this->holder.usable,
                     this->holder.options.terms, *poll, now);
--- a/samphirebank/lease/answer.cc
+++ b/samphirebank/lease/answer.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <utility>
@@ -76,6 +77,22 @@
   return Stretch(terms, Stretch(terms, Stretch(terms, terms.length)));
 }
 
+void Pace(PieceLimit& limit, const contracts::History& history,
+          ConfigPoll& poll, TimePoint now) {
+  const Revision newest = history.configuration.revision;
+  const bool too_far_back =
+      poll.have < newest &&
+      newest.value - poll.have.value > history.changes.size();
+  if (!poll.copy_after && !too_far_back) return;
+  const TimePoint next = std::max(limit.next, now - limit.burst);
+  if (next <= now) {
+    limit.next = next + limit.gap;
+    return;
+  }
+  poll.copy_after.reset();
+  poll.have = newest;
+}
+
 ConfigUpdate Answer(const contracts::History& history,
                     const std::optional<Proof>& proof, const Terms& terms,
                     const ConfigPoll& poll, TimePoint now) {
--- a/samphirebank/lease/holder_test.cc
+++ b/samphirebank/lease/holder_test.cc
@@ -182,6 +182,33 @@
   CHECK(holder.history.configuration == machine.history.configuration);
 }
 
+TEST_CASE("many cold routers get their snapshots at a limited pace") {
+  const contracts::Machine machine =
+      MachineWith(static_cast<int>(contracts::kKeptChanges) + 1000);
+  const Revision newest = machine.history.configuration.revision;
+  std::vector<Holder> holders(100, MakeHolder(Options()));
+  PieceLimit limit;
+  int64_t pieces = 0;
+  constexpr int kMilliseconds = 2'000;
+  for (int ms = 0; ms < kMilliseconds; ms += 10) {
+    const TimePoint now = At(seconds(5) + milliseconds(ms));
+    for (Holder& holder : holders) {
+      for (SendPoll& send : OnTimer(holder, now)) {
+        Pace(limit, machine.history, send.poll, now);
+        const ConfigUpdate update = Answer(machine.history, Proof{now, newest},
+                                           Terms(), send.poll, now);
+        if (update.piece) ++pieces;
+        OnUpdate(holder, update, now);
+      }
+    }
+    CHECK(pieces <= (milliseconds(ms) + limit.burst) / limit.gap + 1);
+  }
+  for (const Holder& holder : holders) {
+    CHECK(holder.history.configuration == machine.history.configuration);
+    CHECK(MayAct(holder, At(seconds(7))));
+  }
+}
+
 TEST_CASE("a report covers all in turn and peers are near ones") {
   Registry registry;
   const TimePoint now = At(seconds(100));
--- a/samphirebank/lease/lease.h
+++ b/samphirebank/lease/lease.h
@@ -244,6 +244,19 @@
                     const std::optional<Proof>& proof, const Terms& terms,
                     const ConfigPoll& poll, TimePoint now);
 
+// PieceLimit paces the snapshot pieces that one answerer hands out, so that
+// many routers that start at once do not keep it from its other work.
+struct PieceLimit {
+  Duration gap = std::chrono::milliseconds(1);     // between pieces, on average
+  Duration burst = std::chrono::milliseconds(20);  // of time saved up
+  TimePoint next;
+};
+
+// Pace turns a poll that is due a piece, while none may be handed out, into one
+// for the lease alone; the asker tries again after its copy gap.
+void Pace(PieceLimit& limit, const contracts::History& history,
+          ConfigPoll& poll, TimePoint now);
+
 // Registry remembers who asked, for the answerer's status and as hints.
 struct Registry {
   struct Heard {
