Name an organisation to a scheduler once

Grants name a router's record by the number that it already had, and demands leave the name out once the scheduler confirmed a demand with it. A scheduler that does not know a number asks for a full demand, which names all.

Failing first: queue_test "a demand names an organisation until that is confirmed" with names left out after the first demand; scheduler_test "a record is known by its number ..." without asking for a full demand. The scheduler tests' bench numbers its records by organisation, as a router does; what is checked stays.

--- a/samphirebank/queue/exchange.cc
+++ b/samphirebank/queue/exchange.cc
@@ -27,13 +27,22 @@
   return sent == pool.sent_at.end() || sent->second + after <= now;
 }
 
+// MustName says whether a demand has to name an organisation.
+bool MustName(const PoolQueue& pool, OrganisationQueue& organisation) {
+  if (pool.full_due) organisation.named = false;
+  if (!organisation.named && !pool.full_due) {
+    organisation.named = organisation.named_in != 0 &&
+                         pool.confirmed.Contains(organisation.named_in);
+  }
+  return !organisation.named;
+}
+
 sharing::OrganisationDemand Describe(const Options& options,
                                      const PoolQueue& pool,
                                      const OrganisationId& id,
                                      const OrganisationQueue& organisation,
                                      TimePoint now) {
   sharing::OrganisationDemand demand{
-      .organisation = id,
       .generation = organisation.generation,
       .waiting = static_cast<uint32_t>(organisation.waiting.size()),
       .running = organisation.running,
@@ -64,6 +73,10 @@
     }
     demand.organisations.push_back(
         Describe(state.options, pool, id, organisation, now));
+    if (MustName(pool, organisation)) {
+      demand.organisations.back().organisation = id;
+      organisation.named_in = demand.sequence;
+    }
     organisation.sent_in = demand.sequence;
     organisation.changed = false;
   }
@@ -94,6 +107,7 @@
     if (organisation.changed) return false;
     if (!pool.confirmed.Contains(organisation.sent_in)) return false;
     if (organisation.running == 0 && organisation.waiting.empty()) {
+      pool.generations.erase(organisation.generation);
       pool.organisations.erase(position);
     }
     return true;
@@ -120,13 +134,13 @@
 }
 
 // DispatchOne moves the oldest request of an organisation to a target.
-Dispatch DispatchOne(State& state, PoolQueue& pool,
+Dispatch DispatchOne(State& state, PoolQueue& pool, const OrganisationId& id,
                      OrganisationQueue& organisation,
                      const sharing::GrantItem& item, TimePoint now) {
   const WaitingRequest taken = internal::TakeWaiting(
       state, pool, organisation, organisation.waiting.begin());
-  const int64_t cost = internal::PredictedCost(
-      state.options, pool, item.organisation, taken.request.estimate.value);
+  const int64_t cost = internal::PredictedCost(state.options, pool, id,
+                                               taken.request.estimate.value);
   organisation.running += 1;
   organisation.charged += cost;
   pool.running += 1;
@@ -147,20 +161,21 @@
 
 void ApplyItem(State& state, PoolQueue& pool, const sharing::GrantItem& item,
                std::vector<Dispatch>& dispatches, TimePoint now) {
-  const auto known = pool.organisations.find(item.organisation);
-  if (known == pool.organisations.end()) {
+  const auto known = pool.generations.find(item.generation);
+  if (known == pool.generations.end()) {
     pool.news = true;  // so that the scheduler hears soon that it is unused
     return;
   }
-  OrganisationQueue& organisation = known->second;
+  const OrganisationId& id = known->second;
+  OrganisationQueue& organisation = pool.organisations.at(id);
   organisation.counter = item.counter;
   uint32_t unused = item.count;
   for (; unused > 0; --unused) {
     if (organisation.waiting.empty()) break;
     if (organisation.waiting.front().request.deadline <= now) break;
-    dispatches.push_back(DispatchOne(state, pool, organisation, item, now));
+    dispatches.push_back(DispatchOne(state, pool, id, organisation, item, now));
   }
-  internal::MarkChanged(pool, item.organisation, organisation, unused > 0, now);
+  internal::MarkChanged(pool, id, organisation, unused > 0, now);
 }
 
 }  // namespace
--- a/samphirebank/queue/queue.h
+++ b/samphirebank/queue/queue.h
@@ -128,6 +128,8 @@
   TimePoint dispatch_rate_at{};  // when it was computed
   TimePoint backlogged_since{};  // when the queue became non-empty
   uint64_t sent_in = 0;          // newest demand that told its state
+  uint64_t named_in = 0;         // newest demand that told its name
+  bool named = false;            // the scheduler knows its name
   bool changed = true;           // since that demand
 };
 
@@ -156,6 +158,7 @@
   sharing::Receipts confirmed{};            // demands the scheduler received
   std::map<uint64_t, TimePoint> sent_at{};  // of recent demands
   std::map<OrganisationId, OrganisationQueue> organisations{};
+  std::unordered_map<uint32_t, OrganisationId> generations{};
   std::map<TargetId, TargetRecord> targets{};
   std::map<OrganisationId, CostSums> costs{};
   std::set<OrganisationId> unsettled{};    // changed or not confirmed
--- a/samphirebank/queue/queue_test.cc
+++ b/samphirebank/queue/queue_test.cc
@@ -40,7 +40,7 @@
                        .expires_ms = 800};
   grant.demands.newest = pool.last_sequence;
   if (count > 0) {
-    grant.items.push_back({.organisation = kOrganisation,
+    grant.items.push_back({.generation = state.last_generation,
                            .target = kTarget,
                            .count = count,
                            .counter = 7});
@@ -114,6 +114,21 @@
   CHECK(full.organisations.size() == 1);
 }
 
+TEST_CASE("a demand names an organisation until that is confirmed") {
+  State state = Started();
+  const auto name = [&](const char* id) {
+    Enqueue(state, Make(id), {}, kStart);
+    return BuildDemand(state, kPool, kStart).organisations.at(0).organisation;
+  };
+  CHECK(name("a") == kOrganisation);
+  CHECK(name("b") == kOrganisation);  // the first one may be lost
+  ApplyGrant(state, Answer(state, 1, 0), kStart);
+  CHECK(name("c").value.empty());
+  OnEpoch(state, kPool, Epoch(4), kStart);
+  CHECK(name("d") == kOrganisation);
+  CHECK(name("e") == kOrganisation);
+}
+
 TEST_CASE("what ended and is confirmed takes no memory") {
   State state = Started();
   Enqueue(state, Make("a"), {}, kStart);
--- a/samphirebank/queue/records.cc
+++ b/samphirebank/queue/records.cc
@@ -22,7 +22,10 @@
 OrganisationQueue& OrganisationOf(State& state, PoolQueue& pool,
                                   const OrganisationId& id) {
   auto [position, added] = pool.organisations.try_emplace(id);
-  if (added) position->second.generation = ++state.last_generation;
+  if (added) {
+    position->second.generation = ++state.last_generation;
+    pool.generations.emplace(position->second.generation, id);
+  }
   return position->second;
 }
 
--- a/samphirebank/scheduler/demand.cc
+++ b/samphirebank/scheduler/demand.cc
@@ -64,12 +64,32 @@
       .waiting_elsewhere = static_cast<uint32_t>(elsewhere)});
 }
 
+// NamedOrganisation returns the organisation whose record a router tells of;
+// null if the router named it to somebody else only.
+Organisation* NamedOrganisation(Scheduler& scheduler, Router& router,
+                                const sharing::OrganisationDemand& told) {
+  if (!told.organisation.value.empty()) {
+    return &OrganisationOf(scheduler, told.organisation);
+  }
+  const auto known = router.generations.find(told.generation);
+  return known == router.generations.end() ? nullptr : known->second;
+}
+
 void TakeOrganisation(Scheduler& scheduler, Router& router,
                       const sharing::OrganisationDemand& told, bool full,
                       TimePoint now) {
-  Organisation& organisation = OrganisationOf(scheduler, told.organisation);
+  Organisation* const named = NamedOrganisation(scheduler, router, told);
+  if (named == nullptr) {
+    router.full_wanted = true;
+    return;
+  }
+  Organisation& organisation = *named;
   RouterOrganisation& source = SourceOf(router, organisation);
   if (told.generation < source.generation) return;
+  if (told.generation != source.generation) {
+    router.generations.erase(source.generation);
+    router.generations[told.generation] = named;
+  }
   TakeCharged(scheduler, source, told, full);
   if (source.listed) {
     organisation.sources.erase({source.oldest_at, router.number, &source});
--- a/samphirebank/scheduler/grants.cc
+++ b/samphirebank/scheduler/grants.cc
@@ -69,14 +69,14 @@
   const Organisation& organisation = *source.organisation;
   if (!router.items.empty()) {
     sharing::GrantItem& last = router.items.back();
-    if (last.organisation == organisation.id && last.target == target.id) {
+    if (last.generation == source.generation && last.target == target.id) {
       last.count += 1;
       last.counter = organisation.counter;
       router.reservations.back().count += 1;
       return;
     }
   }
-  router.items.push_back(sharing::GrantItem{.organisation = organisation.id,
+  router.items.push_back(sharing::GrantItem{.generation = source.generation,
                                             .target = target.id,
                                             .address = target.address,
                                             .count = 1,
--- a/samphirebank/scheduler/internal/state.h
+++ b/samphirebank/scheduler/internal/state.h
@@ -163,6 +163,8 @@
   uint64_t last_grant = 0;
   std::map<uint64_t, PendingGrant> pending{};
   std::unordered_map<Organisation*, RouterOrganisation> organisations{};
+  // By the numbers of the router's records, of which names are told once.
+  std::unordered_map<uint32_t, Organisation*> generations{};
   std::unordered_map<Target*, sharing::TargetUse> uses{};
   std::vector<sharing::GrantItem> items{};      // of the grant being made
   std::vector<Reservation> reservations{};      // of the grant being made
--- a/samphirebank/scheduler/records.cc
+++ b/samphirebank/scheduler/records.cc
@@ -198,6 +198,7 @@
     PlaceTarget(scheduler, *target, now);
   }
   router.organisations.clear();
+  router.generations.clear();
   router.uses.clear();
   if (router.acknowledge_at) {
     scheduler.answers.erase({*router.acknowledge_at, router.number, &router});
@@ -208,12 +209,14 @@
 void SweepRecords(Scheduler& scheduler, TimePoint now) {
   // A record that ended is kept while its last demand may be sent again.
   constexpr Duration kKeepEnded = std::chrono::seconds(60);
-  for (auto& [id, router] : scheduler.routers) {
+  for (auto& item : scheduler.routers) {
+    Router& router = item.second;
     std::erase_if(router.organisations, [&](const auto& item) {
       const RouterOrganisation& source = item.second;
       const bool idle = source.waiting + source.running + source.reserved == 0;
       if (!idle || now - source.changed_at < kKeepEnded) return false;
       source.organisation->references -= 1;
+      router.generations.erase(source.generation);
       return true;
     });
   }
--- a/samphirebank/scheduler/scheduler_test.cc
+++ b/samphirebank/scheduler/scheduler_test.cc
@@ -29,6 +29,7 @@
   State state = Create({.headroom = 0}, kPool, Epoch(1), kStart);
   contracts::Configuration configuration;
   std::map<std::string, uint64_t> sequences;
+  std::map<uint32_t, std::string> names;  // of records, by generation
 
   Bench() {
     this->Contract(ContractOf("a"));
@@ -57,6 +58,9 @@
   void Ask(const std::string& router,
            std::vector<sharing::OrganisationDemand> organisations,
            std::vector<sharing::TargetUse> uses = {}, uint64_t grants = 0) {
+    for (const auto& told : organisations) {
+      this->names[told.generation] = told.organisation.value;
+    }
     sharing::Demand demand{.pool = kPool,
                            .epoch = Epoch(1),
                            .sequence = ++this->sequences[router],
@@ -72,7 +76,7 @@
     std::map<std::string, uint32_t> counts;
     for (const Outgoing& out : Tick(this->state, this->now)) {
       for (const auto& item : out.grant.items) {
-        counts[item.organisation.value] += item.count;
+        counts[this->names.at(item.generation)] += item.count;
       }
     }
     return counts;
@@ -82,7 +86,7 @@
 sharing::OrganisationDemand Wants(const std::string& organisation,
                                   uint32_t waiting, uint32_t estimate = 100) {
   return {.organisation = OrganisationId(organisation),
-          .generation = 1,
+          .generation = static_cast<uint32_t>(organisation[0]),
           .waiting = waiting,
           .estimate = estimate};
 }
@@ -237,12 +241,34 @@
   CHECK(bench.Granted() == Counts{{"a", 1}});
 }
 
+TEST_CASE("a record is known by its number once it was named, else asked for") {
+  Bench bench;
+  bench.now += seconds(1);
+  bench.Report("t1", 4);
+  sharing::OrganisationDemand unnamed = Wants("a", 2);
+  unnamed.organisation = {};
+  bench.Ask("r1", {});
+  bench.Granted();
+  bench.Ask("r1", {unnamed});
+  bench.now += milliseconds(200);
+  const auto out = Tick(bench.state, bench.now);
+  REQUIRE(out.size() == 1);
+  CHECK(out[0].grant.full_wanted);
+  bench.Ask("r1", {Wants("a", 1)});
+  CHECK(bench.Granted() == Counts{{"a", 1}});
+  unnamed.waiting = 3;
+  bench.Ask("r1", {unnamed});
+  bench.names['a'] = "a";
+  CHECK(bench.Granted() == Counts{{"a", 2}});
+}
+
 TEST_CASE("a router that falls silent or restarts holds no slots") {
   Bench bench;
   bench.now += seconds(1);
   bench.Report("t1", 2);
   bench.Ask("r1", {Wants("a", 9)}, {{.target = TargetId("t1"), .running = 2}});
   CHECK(bench.Granted().empty());
+  bench.names['b'] = "b";
   OnDemand(bench.state, InstanceId("r1"), BootId(2),
            {.pool = kPool,
             .epoch = Epoch(1),
--- a/samphirebank/sharing/sharing.h
+++ b/samphirebank/sharing/sharing.h
@@ -61,6 +61,7 @@
 // OrganisationDemand is the state of one organisation's requests for one pool
 // at one router.
 struct OrganisationDemand {
+  // Empty once the scheduler confirmed a demand that named this generation.
   OrganisationId organisation{};
   // Numbers the router's record; `charged` counts from 0 in each generation.
   uint32_t generation = 0;
@@ -155,7 +156,7 @@
 
 // GrantItem lets a router dispatch `count` requests of one organisation.
 struct GrantItem {
-  OrganisationId organisation{};
+  uint32_t generation = 0;  // of the organisation's record at the router
   TargetId target{};
   net::SocketAddress address{};
   uint32_t count = 0;
@@ -165,7 +166,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    internal::Text(archive, organisation.value);
+    internal::Number(archive, generation);
     internal::Text(archive, target.value);
     internal::Address(archive, address);
     internal::Number(archive, count);
