Tell a target's name and address to a router once

A grant's items name a target by the scheduler's number; name, address and traits go along until the router confirmed a grant with them, and again when they change. Demands use the number too. Numbers are those of one epoch; a scheduler that does not know one asks for a full demand.

--- a/samphirebank/queue/exchange.cc
+++ b/samphirebank/queue/exchange.cc
@@ -90,10 +90,13 @@
   for (const TargetId& id : pool.unsettled_targets) {
     TargetRecord& target = pool.targets.at(id);
     if (!TellAgain(pool, target, state.options.resend_after, now)) continue;
-    demand.targets.push_back(sharing::TargetUse{.target = id,
-                                                .running = target.running,
-                                                .failed = target.failed,
-                                                .tokens = target.tokens});
+    const bool numbered = target.number != 0 && !demand.full;
+    demand.targets.push_back(
+        sharing::TargetUse{.target = numbered ? TargetId() : id,
+                           .number = target.number,
+                           .running = target.running,
+                           .failed = target.failed,
+                           .tokens = target.tokens});
     target.sent_in = demand.sequence;
     target.changed = false;
   }
@@ -133,10 +136,29 @@
   }
 }
 
+// FactsOf returns what is known of an item's target, and takes what the item
+// tells; null if that was never told here.
+const TargetFacts* FactsOf(PoolQueue& pool, const sharing::GrantItem& item,
+                           uint64_t sequence) {
+  if (item.target.value.empty()) {
+    const auto known = pool.numbered.find(item.number);
+    return known == pool.numbered.end() ? nullptr : &known->second;
+  }
+  TargetFacts& facts = pool.numbered[item.number];
+  if (sequence >= facts.told_in) {
+    facts = {.id = item.target,
+             .address = item.address,
+             .traits = item.traits,
+             .told_in = sequence};
+    pool.targets[item.target].number = item.number;
+  }
+  return &facts;
+}
+
 // DispatchOne moves the oldest request of an organisation to a target.
 Dispatch DispatchOne(State& state, PoolQueue& pool, const OrganisationId& id,
-                     OrganisationQueue& organisation,
-                     const sharing::GrantItem& item, TimePoint now) {
+                     OrganisationQueue& organisation, const TargetFacts& facts,
+                     TimePoint now) {
   const WaitingRequest taken = internal::TakeWaiting(
       state, pool, organisation, organisation.waiting.begin());
   const int64_t cost = internal::PredictedCost(state.options, pool, id,
@@ -144,25 +166,26 @@
   organisation.running += 1;
   organisation.charged += cost;
   pool.running += 1;
-  TargetRecord& target = pool.targets[item.target];
+  TargetRecord& target = pool.targets[facts.id];
   target.running += 1;
   internal::CountDispatch(organisation, now);
-  internal::MarkTargetChanged(pool, item.target, target, now);
+  internal::MarkTargetChanged(pool, facts.id, target, now);
   state.running[taken.request.id] = RunningRequest{.request = taken.request,
-                                                   .target = item.target,
+                                                   .target = facts.id,
                                                    .since = taken.since,
                                                    .charged = cost};
   return Dispatch{.id = taken.request.id,
-                  .target = item.target,
-                  .address = item.address,
-                  .far = item.far,
-                  .traits = item.traits};
+                  .target = facts.id,
+                  .address = facts.address,
+                  .traits = facts.traits};
 }
 
 void ApplyItem(State& state, PoolQueue& pool, const sharing::GrantItem& item,
-               std::vector<Dispatch>& dispatches, TimePoint now) {
+               uint64_t sequence, std::vector<Dispatch>& dispatches,
+               TimePoint now) {
+  const TargetFacts* const facts = FactsOf(pool, item, sequence);
   const auto known = pool.generations.find(item.generation);
-  if (known == pool.generations.end()) {
+  if (facts == nullptr || known == pool.generations.end()) {
     pool.news = true;  // so that the scheduler hears soon that it is unused
     return;
   }
@@ -173,7 +196,9 @@
   for (; unused > 0; --unused) {
     if (organisation.waiting.empty()) break;
     if (organisation.waiting.front().request.deadline <= now) break;
-    dispatches.push_back(DispatchOne(state, pool, id, organisation, item, now));
+    dispatches.push_back(
+        DispatchOne(state, pool, id, organisation, *facts, now));
+    dispatches.back().far = item.far;
   }
   internal::MarkChanged(pool, id, organisation, unused > 0, now);
 }
@@ -253,7 +278,7 @@
                             std::chrono::milliseconds(grant.expires_ms);
   if (expires <= now) return dispatches;
   for (const sharing::GrantItem& item : grant.items) {
-    ApplyItem(state, pool, item, dispatches, now);
+    ApplyItem(state, pool, item, grant.sequence, dispatches, now);
   }
   for (Dispatch& dispatch : dispatches) {
     dispatch.epoch = grant.epoch;
--- a/samphirebank/queue/queue.cc
+++ b/samphirebank/queue/queue.cc
@@ -85,6 +85,8 @@
   queue.grants = {};
   queue.confirmed = {};
   queue.sent_at.clear();
+  queue.numbered.clear();
+  for (auto& [id, target] : queue.targets) target.number = 0;
   queue.last_sent = now - state.options.demand_spacing;
   queue.news = queue.waiting + queue.running > 0;
 }
--- a/samphirebank/queue/queue.h
+++ b/samphirebank/queue/queue.h
@@ -138,10 +138,19 @@
   uint32_t running = 0;
   uint32_t failed = 0;
   uint64_t tokens = 0;
+  uint64_t number = 0;  // by the present scheduler; 0: not known
   uint64_t sent_in = 0;
   bool changed = true;
 };
 
+// TargetFacts is what a scheduler told of a target with its number.
+struct TargetFacts {
+  TargetId id{};
+  net::SocketAddress address{};
+  sharing::TargetTraits traits{};
+  uint64_t told_in = 0;  // the newest grant that told it
+};
+
 // CostSums gives an organisation's mean cost; old requests count less.
 struct CostSums {
   double spent = 0;  // tokens
@@ -160,6 +169,7 @@
   std::map<OrganisationId, OrganisationQueue> organisations{};
   std::unordered_map<uint32_t, OrganisationId> generations{};
   std::map<TargetId, TargetRecord> targets{};
+  std::unordered_map<uint64_t, TargetFacts> numbered{};  // by its number
   std::map<OrganisationId, CostSums> costs{};
   std::set<OrganisationId> unsettled{};    // changed or not confirmed
   std::set<TargetId> unsettled_targets{};  // changed or not confirmed
--- a/samphirebank/queue/queue_test.cc
+++ b/samphirebank/queue/queue_test.cc
@@ -129,6 +129,33 @@
   CHECK(name("e") == kOrganisation);
 }
 
+TEST_CASE("a target is known by its number once it was told") {
+  State state = Started();
+  for (const char* id : {"a", "b", "c", "d"})
+    Enqueue(state, Make(id), {}, kStart);
+  BuildDemand(state, kPool, kStart);
+  const auto apply = [&](uint64_t sequence, const std::string& name,
+                         uint16_t port) {
+    auto grant = Answer(state, sequence, 1);
+    grant.items[0].number = 9;
+    grant.items[0].target = TargetId(name);
+    grant.items[0].address.port = port;
+    return ApplyGrant(state, grant, kStart);
+  };
+  CHECK(apply(1, "", 0).empty());
+  CHECK(apply(3, "t1", 80).at(0).address.port == 80);
+  CHECK(apply(2, "t1", 70).at(0).address.port == 80);  // overtaken
+  CHECK(apply(4, "", 0).at(0).target == kTarget);
+  const sharing::Demand demand = BuildDemand(state, kPool, kStart);
+  CHECK(demand.targets.at(0).target.value.empty());
+  CHECK(demand.targets.at(0).number == 9);
+  // The next scheduler numbers anew.
+  OnEpoch(state, kPool, Epoch(4), kStart);
+  CHECK(BuildDemand(state, kPool, kStart).targets.at(0).target == kTarget);
+  Enqueue(state, Make("e"), {}, kStart);
+  CHECK(apply(1, "", 0).empty());
+}
+
 TEST_CASE("what ended and is confirmed takes no memory") {
   State state = Started();
   Enqueue(state, Make("a"), {}, kStart);
--- a/samphirebank/scheduler/demand.cc
+++ b/samphirebank/scheduler/demand.cc
@@ -107,6 +107,23 @@
   NoteQueue(router, source);
 }
 
+void TakeUse(Scheduler& scheduler, Router& router,
+             const sharing::TargetUse& use, TimePoint now) {
+  Target* target = nullptr;
+  if (!use.target.value.empty()) {
+    target = &internal::TargetOf(scheduler, use.target, now);
+  } else if (const auto known = scheduler.numbered.find(use.number);
+             known != scheduler.numbered.end()) {
+    target = known->second;
+  }
+  if (target == nullptr) {
+    router.full_wanted = true;
+    return;
+  }
+  internal::SetUse(router, *target, use, now);
+  internal::PlaceTarget(scheduler, *target, now);
+}
+
 void Empty(Scheduler& scheduler, RouterOrganisation& source, TimePoint now) {
   internal::SetWaiting(scheduler, source, 0);
   internal::SetRunning(scheduler, source, 0);
@@ -202,6 +219,7 @@
   if (demand.sequence <= router.demands.newest) return;
   router.demands.Add(demand.sequence);
   router.heard_at = now;
+  router.grants = demand.grants;
   if (demand.full) {
     router.has_report = true;
     router.full_wanted = false;
@@ -212,9 +230,7 @@
     TakeOrganisation(scheduler, router, told, demand.full, now);
   }
   for (const auto& use : demand.targets) {
-    Target& target = internal::TargetOf(scheduler, use.target, now);
-    internal::SetUse(router, target, use, now);
-    internal::PlaceTarget(scheduler, target, now);
+    TakeUse(scheduler, router, use, now);
   }
   internal::OweAnswer(scheduler, router,
                       now + scheduler.options.acknowledge_after);
--- a/samphirebank/scheduler/grants.cc
+++ b/samphirebank/scheduler/grants.cc
@@ -62,6 +62,22 @@
   return chosen ? *scheduler.ring_targets[*chosen] : *least;
 }
 
+// MustTell says whether the grant being made for a router has to tell a
+// target's name, address and traits.
+bool MustTell(Router& router, const Target& target) {
+  ToldTarget& told = router.told[&target];
+  const uint64_t next = router.last_grant + 1;
+  if (told.facts != target.facts) {
+    told = {.facts = target.facts, .grant = next};
+  }
+  if (told.confirmed) return false;
+  told.confirmed = router.grants.Contains(told.grant);
+  if (told.confirmed) return false;
+  const bool lost = router.grants.newest > told.grant;
+  if (lost) told.grant = next;
+  return true;
+}
+
 // AddItem puts one request into the grant being made for a router.
 void AddItem(Scheduler& scheduler, RouterOrganisation& source, Target& target) {
   Router& router = *source.router;
@@ -69,20 +85,24 @@
   const Organisation& organisation = *source.organisation;
   if (!router.items.empty()) {
     sharing::GrantItem& last = router.items.back();
-    if (last.generation == source.generation && last.target == target.id) {
+    if (last.generation == source.generation && last.number == target.number) {
       last.count += 1;
       last.counter = organisation.counter;
       router.reservations.back().count += 1;
       return;
     }
   }
-  router.items.push_back(sharing::GrantItem{.generation = source.generation,
-                                            .target = target.id,
-                                            .address = target.address,
-                                            .count = 1,
-                                            .far = target.far,
-                                            .counter = organisation.counter,
-                                            .traits = target.traits});
+  sharing::GrantItem item{.generation = source.generation,
+                          .number = target.number,
+                          .count = 1,
+                          .far = target.far,
+                          .counter = organisation.counter};
+  if (MustTell(router, target)) {
+    item.target = target.id;
+    item.address = target.address;
+    item.traits = target.traits;
+  }
+  router.items.push_back(std::move(item));
   router.reservations.push_back(Reservation{.source = &source,
                                             .target = &target,
                                             .count = 1,
--- a/samphirebank/scheduler/internal/state.h
+++ b/samphirebank/scheduler/internal/state.h
@@ -106,6 +106,7 @@
   uint64_t number = 0;  // breaks ties
   net::SocketAddress address{};
   sharing::TargetTraits traits{};
+  uint32_t facts = 1;  // counts the changes of address and traits
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
   contracts::TargetIntent intent = contracts::TargetIntent::kServing;
@@ -148,6 +149,13 @@
   std::vector<Reservation> reservations{};
 };
 
+// ToldTarget is what a router was told of a target's address and traits.
+struct ToldTarget {
+  uint32_t facts = 0;  // Target::facts
+  uint64_t grant = 0;  // that told them
+  bool confirmed = false;
+};
+
 // Router is all that is known of one entry router.
 struct Router {
   InstanceId id{};
@@ -166,6 +174,8 @@
   // By the numbers of the router's records, of which names are told once.
   std::unordered_map<uint32_t, Organisation*> generations{};
   std::unordered_map<Target*, sharing::TargetUse> uses{};
+  std::unordered_map<const Target*, ToldTarget> told{};
+  sharing::Receipts grants{};  // received there, by its newest demand
   std::vector<sharing::GrantItem> items{};      // of the grant being made
   std::vector<Reservation> reservations{};      // of the grant being made
   std::vector<sharing::QueueNotice> notices{};  // of the grant being made
@@ -203,6 +213,7 @@
   std::unordered_map<OrganisationId, Organisation> organisations{};
   std::map<InstanceId, Router> routers{};
   std::map<TargetId, Target> targets{};
+  std::unordered_map<uint64_t, Target*> numbered{};  // by Target::number
   std::map<PoolId, Neighbour> neighbours{};
   // Organisations that may be granted now, by counter.
   std::set<std::tuple<double, uint64_t, Organisation*>> ready{};
@@ -248,6 +259,10 @@
 // TargetOf returns the record of a target, made if missing.
 Target& TargetOf(Scheduler& scheduler, const TargetId& id, TimePoint now);
 
+// SetFacts takes a target's address and traits.
+void SetFacts(Target& target, const net::SocketAddress& address,
+              const sharing::TargetTraits& traits);
+
 // Charge moves an organisation's counter by `tokens`.
 void Charge(Scheduler& scheduler, Organisation& organisation, int64_t tokens);
 
--- a/samphirebank/scheduler/scheduler_test.cc
+++ b/samphirebank/scheduler/scheduler_test.cc
@@ -262,6 +262,32 @@
   CHECK(bench.Granted() == Counts{{"a", 2}});
 }
 
+TEST_CASE("a target's address is told until confirmed, again when it changes") {
+  Bench bench;
+  bench.now += seconds(1);
+  uint64_t sequence = 0;
+  // Told returns the port that the next grant tells; 0 if none.
+  const auto told = [&](uint16_t port, uint64_t confirmed) {
+    OnTargetState(bench.state,
+                  {.pool = kPool,
+                   .target = TargetId("t1"),
+                   .address = {.ip = "10.0.0.1", .port = port},
+                   .sequence = ++sequence,
+                   .slots = 100},
+                  bench.now);
+    bench.Ask("r1", {Wants("a", 1)}, {}, confirmed);
+    const auto out = Tick(bench.state, bench.now);
+    bench.now += milliseconds(300);  // what is not confirmed was lost
+    return out.at(0).grant.items.at(0).address.port;
+  };
+  CHECK(told(80, 0) == 80);
+  CHECK(told(80, 0) == 80);
+  CHECK(told(80, 2) == 0);
+  CHECK(told(90, 3) == 90);
+  CHECK(told(90, 3) == 90);
+  CHECK(told(90, 5) == 0);
+}
+
 TEST_CASE("a router that falls silent or restarts holds no slots") {
   Bench bench;
   bench.now += seconds(1);
--- a/samphirebank/scheduler/share.cc
+++ b/samphirebank/scheduler/share.cc
@@ -70,8 +70,7 @@
     if (target.known && !target.far) continue;
     target.known = true;
     target.far = true;
-    target.address = loan.address;
-    target.traits = loan.traits;
+    internal::SetFacts(target, loan.address, loan.traits);
     target.loan = loan.slots;
     target.loan_until = expires;
     target.heard_at = now;
--- a/samphirebank/scheduler/targets.cc
+++ b/samphirebank/scheduler/targets.cc
@@ -92,6 +92,7 @@
   if (!added) return target;
   target.id = id;
   target.number = ++scheduler.last_number;
+  scheduler.numbered.emplace(target.number, &target);
   target.heard_at = now;
   target.trusted_at = now;
   target.observed_at = now;
@@ -105,6 +106,14 @@
   return target;
 }
 
+void SetFacts(Target& target, const net::SocketAddress& address,
+              const sharing::TargetTraits& traits) {
+  if (target.address == address && target.traits == traits) return;
+  target.address = address;
+  target.traits = traits;
+  target.facts += 1;
+}
+
 uint32_t InFlight(const Target& target) {
   return target.running + target.reserved;
 }
@@ -166,7 +175,11 @@
       ++position;
       continue;
     }
-    for (auto& [id, router] : scheduler.routers) router.uses.erase(&target);
+    for (auto& [id, router] : scheduler.routers) {
+      router.uses.erase(&target);
+      router.told.erase(&target);
+    }
+    scheduler.numbered.erase(target.number);
     scheduler.ring_stale = true;
     position = scheduler.targets.erase(position);
   }
@@ -194,8 +207,7 @@
   target.suspected = false;
   target.known = true;
   target.heard_at = std::max(target.heard_at, taken_at);
-  target.address = report.address;
-  target.traits = report.traits;
+  internal::SetFacts(target, report.address, report.traits);
   target.incarnation = report.incarnation;
   target.sequence = report.sequence;
   target.intent = report.intent;
--- a/samphirebank/sharing/sharing.h
+++ b/samphirebank/sharing/sharing.h
@@ -92,7 +92,8 @@
 // TargetUse is what one router runs on one target; the totals are cumulative
 // since the router's process started.
 struct TargetUse {
-  TargetId target{};
+  TargetId target{};     // empty if the scheduler's number of it is told
+  uint64_t number = 0;   // of the target; 0: not known
   uint32_t running = 0;  // requests
   uint32_t failed = 0;   // requests, total
   uint64_t tokens = 0;   // seen from the target, total
@@ -100,6 +101,7 @@
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
     internal::Text(archive, target.value);
+    internal::Number(archive, number);
     internal::Number(archive, running);
     internal::Number(archive, failed);
     internal::Number(archive, tokens);
@@ -154,23 +156,30 @@
   }
 };
 
-// GrantItem lets a router dispatch `count` requests of one organisation.
+// GrantItem lets a router dispatch `count` requests of one organisation. The
+// target's name, address and traits are left out once the router confirmed a
+// grant that told them with its number; `target` is empty then.
 struct GrantItem {
   uint32_t generation = 0;  // of the organisation's record at the router
+  uint64_t number = 0;      // of the target, given by the scheduler
   TargetId target{};
   net::SocketAddress address{};
+  TargetTraits traits{};
   uint32_t count = 0;
   bool far = false;    // the target is in another region
   double counter = 0;  // the organisation's, after this grant
-  TargetTraits traits{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
     internal::Number(archive, generation);
+    internal::Number(archive, number);
     internal::Text(archive, target.value);
-    internal::Address(archive, address);
+    if (!target.value.empty()) {
+      internal::Address(archive, address);
+      archive(traits);
+    }
     internal::Number(archive, count);
-    archive(far, traits);
+    archive(far);
     internal::Rare(archive, counter);
   }
 };
