Write counters in messages as whole numbers

A counter orders organisations after a change of scheduler; a fraction of a token decides nothing. Eight bytes and a flag become mostly three.

--- a/samphirebank/sharing/internal/compact.h
+++ b/samphirebank/sharing/internal/compact.h
@@ -6,6 +6,8 @@
 #ifndef SAMPHIREBANK_SHARING_INTERNAL_COMPACT_H_
 #define SAMPHIREBANK_SHARING_INTERNAL_COMPACT_H_
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <stdexcept>
 #include <string>
@@ -99,6 +101,21 @@
   }
 }
 
+// Rounded archives a number that need not be exact, as an integer.
+template <typename Archive>
+void Rounded(Archive& archive, double& number) {
+  constexpr double kLargest = 9e18;
+  int64_t rounded = 0;
+  if constexpr (Archive::is_saving::value) {
+    const double bounded = std::clamp(number, -kLargest, kLargest);
+    rounded = std::isnan(number) ? 0 : std::llround(bounded);
+  }
+  Signed(archive, rounded);
+  if constexpr (!Archive::is_saving::value) {
+    number = static_cast<double>(rounded);
+  }
+}
+
 // Rare archives a value that mostly is zero.
 template <typename Archive, typename Value>
 void Rare(Archive& archive, Value& value) {
--- a/samphirebank/sharing/sharing.h
+++ b/samphirebank/sharing/sharing.h
@@ -85,7 +85,7 @@
     internal::Number(archive, oldest_age_ms);
     internal::Rare(archive, prefix);
     internal::Signed(archive, charged);
-    internal::Rare(archive, counter);
+    internal::Rounded(archive, counter);
   }
 };
 
@@ -180,7 +180,7 @@
     }
     internal::Number(archive, count);
     archive(far);
-    internal::Rare(archive, counter);
+    internal::Rounded(archive, counter);
   }
 };
 
