Let no grant to an earlier run fit a router's records

Grants name records by number, so a router's numbers begin at one that differs between its runs: a grant that is still on its way to the earlier run finds no record.

--- a/samphirebank/router/router.cc
+++ b/samphirebank/router/router.cc
@@ -93,6 +93,10 @@
   Router router;
   router.settings = settings;
   router.boot = RandomBoot();
+  // Grants name records by number: those of an earlier run must fit none.
+  constexpr uint64_t kFirstGenerations = 1 << 20;
+  router.queues.last_generation =
+      static_cast<uint32_t>(router.boot.value % kFirstGenerations);
   try {
     Serve(router);
   } catch (const std::exception& error) {
