Refuse what waits once no region has a target

Cause: a pool whose targets all left keeps its scheduler; its callers waited for their whole deadline (20 s in the process test, with that deadline) and were only then refused.

--- a/samphirebank/queue/exchange.cc
+++ b/samphirebank/queue/exchange.cc
@@ -11,6 +11,9 @@
 constexpr size_t kMaxSentTimes = 256;
 // kNoticeLife is how long a word on what waits elsewhere is believed.
 constexpr Duration kNoticeLife = std::chrono::seconds(3);
+// kNoTargetsLife is how long requests are refused before the next one is held
+// until the scheduler says again that no target serves it.
+constexpr Duration kNoTargetsLife = std::chrono::seconds(1);
 
 uint32_t Milliseconds(Duration span) {
   const auto count =
@@ -229,6 +232,7 @@
   Confirm(pool, grant.demands);
   if (sent == pool.sent_at.end()) return dispatches;
   pool.backlogged = grant.backlogged;
+  pool.no_targets_until = grant.no_targets ? now + kNoTargetsLife : TimePoint();
   // Ends that were held back may free slots for what waits.
   if (pool.backlogged && pool.usage_since) pool.news = true;
   TakeNotices(pool, grant, now);
--- a/samphirebank/queue/queue.cc
+++ b/samphirebank/queue/queue.cc
@@ -51,10 +51,12 @@
   return waiting >= limits.queue_length;
 }
 
-std::optional<RefusalKind> Check(const State& state, const Request& request,
+std::optional<RefusalKind> Check(const State& state, const PoolQueue& pool,
+                                 const Request& request,
                                  const OrganisationQueue& organisation,
                                  const Limits& limits, TimePoint now) {
   if (request.deadline <= now) return RefusalKind::kDeadlinePast;
+  if (now < pool.no_targets_until) return RefusalKind::kNoTargets;
   if (QueueFull(organisation, limits, now)) return RefusalKind::kQueueFull;
   if (state.waiting.size() >= state.options.max_waiting) {
     return RefusalKind::kRouterFull;
@@ -88,7 +90,7 @@
   const OrganisationQueue none;
   const OrganisationQueue& seen =
       known == pool.organisations.end() ? none : known->second;
-  if (const auto kind = Check(state, request, seen, limits, now)) {
+  if (const auto kind = Check(state, pool, request, seen, limits, now)) {
     return Refuse(request, *kind, seen, now);
   }
   OrganisationQueue& organisation =
@@ -126,6 +128,23 @@
   return refusals;
 }
 
+std::vector<Refusal> RefuseUnserved(State& state, const PoolId& pool,
+                                    TimePoint now) {
+  std::vector<Refusal> refusals;
+  const auto known = state.pools.find(pool);
+  if (known == state.pools.end() || now >= known->second.no_targets_until) {
+    return refusals;
+  }
+  for (const auto& [id, organisation] : known->second.organisations) {
+    for (const WaitingRequest& waiting : organisation.waiting) {
+      refusals.push_back(
+          Refuse(waiting.request, RefusalKind::kNoTargets, organisation, now));
+    }
+  }
+  for (const Refusal& refusal : refusals) Remove(state, refusal.id, now);
+  return refusals;
+}
+
 std::optional<TimePoint> NextDeadlineAt(const State& state) {
   if (state.deadlines.empty()) return std::nullopt;
   return state.deadlines.begin()->first;
--- a/samphirebank/queue/queue.h
+++ b/samphirebank/queue/queue.h
@@ -76,6 +76,7 @@
   kRouterFull,    // this router holds as many requests as it can
   kHopeless,      // would not be dispatched within its deadline
   kDeadlinePast,  // waited until its deadline
+  kNoTargets,     // no region has a target for it
 };
 
 // Refusal tells a caller that its request did not run.
@@ -161,6 +162,8 @@
   std::set<OrganisationId> unsettled{};    // changed or not confirmed
   std::set<TargetId> unsettled_targets{};  // changed or not confirmed
   TimePoint last_sent{};
+  // By the scheduler's word no target serves the pool, until then.
+  TimePoint no_targets_until{};
   bool news = false;                       // due at once
   std::optional<TimePoint> usage_since{};  // of the oldest unsent usage change
   uint64_t running = 0;                    // requests
@@ -202,6 +205,11 @@
 // Expire removes and returns the waiting requests whose deadline is past.
 std::vector<Refusal> Expire(State& state, TimePoint now);
 
+// RefuseUnserved removes and returns the waiting requests of a pool, if its
+// scheduler said that no target serves it.
+std::vector<Refusal> RefuseUnserved(State& state, const PoolId& pool,
+                                    TimePoint now);
+
 // NextDemandAt is when BuildDemand should be called for `pool`; nothing while
 // there is nothing to tell.
 std::optional<TimePoint> NextDemandAt(const State& state, const PoolId& pool);
--- a/samphirebank/queue/queue_test.cc
+++ b/samphirebank/queue/queue_test.cc
@@ -48,6 +48,22 @@
   return grant;
 }
 
+TEST_CASE("what waits is refused while no target serves the pool") {
+  State state = Started();
+  CHECK(!Enqueue(state, Make("a"), {}, kStart));
+  BuildDemand(state, kPool, kStart);
+  auto grant = Answer(state, 1, 0);
+  grant.no_targets = true;
+  ApplyGrant(state, grant, kStart);
+  const auto refused = RefuseUnserved(state, kPool, kStart);
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].kind == RefusalKind::kNoTargets);
+  CHECK(Enqueue(state, Make("b"), {}, kStart)->kind == RefusalKind::kNoTargets);
+  // The next one is held, to hear whether targets came.
+  CHECK(!Enqueue(state, Make("c"), {}, kStart + seconds(1)));
+  CHECK(RefuseUnserved(state, kPool, kStart + seconds(1)).empty());
+}
+
 TEST_CASE("a grant dispatches the oldest requests, until it expires") {
   State state = Started();
   for (const char* id : {"a", "b", "c"}) {
--- a/samphirebank/router/callers.cc
+++ b/samphirebank/router/callers.cc
@@ -162,6 +162,17 @@
   StartRequest(router, request, *contract, now);
 }
 
+ingress::Refusal ToProblem(const queue::Refusal& refusal) {
+  if (refusal.kind == queue::RefusalKind::kNoTargets) {
+    return ingress::NotRun(503, "no target offers this service", kNoPoolRetry);
+  }
+  const bool full = refusal.kind != queue::RefusalKind::kHopeless;
+  return ingress::NotRun(
+      full ? 429 : 503,
+      full ? "the queue is full" : "it would wait beyond its deadline",
+      refusal.retry_after);
+}
+
 // ReadBody collects the body, then admits the request.
 void ReadBody(Router& router, const std::shared_ptr<CallerRequest>& request) {
   request->stream->on_body = [request](std::string_view piece) {
@@ -232,12 +243,7 @@
                       .deadline = request.machine.options.deadline},
                      limits, now);
   if (refusal) {
-    const bool full = refusal->kind != queue::RefusalKind::kHopeless;
-    RefuseWaiting(router, request,
-                  ingress::NotRun(full ? 429 : 503,
-                                  full ? "the queue is full"
-                                       : "it would wait beyond its deadline",
-                                  refusal->retry_after));
+    RefuseWaiting(router, request, ToProblem(*refusal));
     return;
   }
   SchedulePump(router);
@@ -279,6 +285,16 @@
   }
 }
 
+void RefuseUnserved(Router& router, const PoolId& pool, TimePoint now) {
+  for (const queue::Refusal& refusal :
+       queue::RefuseUnserved(router.queues, pool, now)) {
+    const auto found = router.requests.find(refusal.id);
+    if (found == router.requests.end()) continue;
+    const std::shared_ptr<CallerRequest> request = found->second;
+    RefuseWaiting(router, *request, ToProblem(refusal));
+  }
+}
+
 void PumpClaims(Router& router, TimePoint now) {
   const std::vector<claims::ClaimRequest> due =
       claims::TakeDue(router.claims, now);
--- a/samphirebank/router/internal/callers.h
+++ b/samphirebank/router/internal/callers.h
@@ -23,6 +23,9 @@
 // File puts a request into its pool's queue, or refuses it.
 void File(Router& router, CallerRequest& request, TimePoint now);
 
+// RefuseUnserved refuses what waits for a pool that has no targets.
+void RefuseUnserved(Router& router, const PoolId& pool, TimePoint now);
+
 // RefuseExpired refuses what waited beyond its deadline.
 void RefuseExpired(Router& router, TimePoint now);
 
--- a/samphirebank/router/pools.cc
+++ b/samphirebank/router/pools.cc
@@ -217,6 +217,7 @@
     request->second->traits = dispatch.traits;
     Raise(router, dispatch.id, outcome::GrantGot{.grant = ToGrant(dispatch)});
   }
+  RefuseUnserved(router, grant.pool, now);
 }
 
 void OnTargetState(Router& router, const sharing::TargetState& target,
