Run three regions as real processes

A fleet of 3 control instances, 6 routers and targets in three regions, with a relay for their datagrams (20 ms between regions).

--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -58,16 +58,19 @@
                                      BootId boot, uint16_t peer_port,
                                      uint16_t operator_port) {
   const settings::Identity& identity = settings.identity;
-  lease::HolderOptions options{
-      .self = {.instance = identity.instance,
-               .boot = boot,
-               .region = identity.region,
-               .zone = identity.zone,
-               .address = {identity.address, peer_port},
-               .role = lease::Role::kControl,
-               .operator_port = operator_port},
-      .poll_interval = kFollowerPollInterval,
-      .seed = boot.value};
+  net::SocketAddress address{identity.address, peer_port};
+  for (const settings::ControlMember& member : settings.members) {
+    if (member.instance == identity.instance) address = member.peer_address;
+  }
+  lease::HolderOptions options{.self = {.instance = identity.instance,
+                                        .boot = boot,
+                                        .region = identity.region,
+                                        .zone = identity.zone,
+                                        .address = address,
+                                        .role = lease::Role::kControl,
+                                        .operator_port = operator_port},
+                               .poll_interval = kFollowerPollInterval,
+                               .seed = boot.value};
   return options;
 }
 
--- /dev/null
+++ b/samphirebank/regions_test/region_faults_process_test.cc
@@ -0,0 +1,1 @@
+#include <doctest/doctest.h>
--- /dev/null
+++ b/samphirebank/regions_test/regions_fleet.cc
@@ -0,0 +1,279 @@
+#include "samphirebank/regions_test/regions_fleet.h"
+
+#include <algorithm>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "samphirebank/contracts/contracts.h"
+
+namespace samphirebank::regions_test {
+namespace {
+
+using nlohmann::json;
+using testing::Ask;
+using testing::Call;
+using testing::Reply;
+
+constexpr std::array kNames = {"aqaba", "amman", "maan"};
+constexpr const char* kOperator = "authorization: Bearer operator-token-test";
+
+std::string Flag(const std::string& name, const std::string& value) {
+  return "--" + name + "=" + value;
+}
+
+std::string Flag(const std::string& name, uint64_t value) {
+  return Flag(name, std::to_string(value));
+}
+
+std::string At(uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+std::string Prefix(const std::string& name) {
+  return name.substr(0, name.find('-'));
+}
+
+std::unique_ptr<testing::Process> StartProgram(
+    const std::vector<std::string>& flags) {
+  std::vector<std::string> words = {SAMPHIREBANK_BINARY};
+  words.insert(words.end(), flags.begin(), flags.end());
+  return std::make_unique<testing::Process>(
+      words, std::vector<std::string>{
+                 "SAMPHIREBANK_FLEET_KEY=" + std::string(64, 'a'),
+                 "SAMPHIREBANK_OPERATOR_TOKEN=operator-token-test",
+                 "SAMPHIREBANK_TARGET_TOKEN=target-token-for-test"});
+}
+
+void Expect(bool held, const std::string& what) {
+  if (!held) throw std::runtime_error("the fleet does not start: " + what);
+}
+
+std::string RunsPath(const std::string& folder, const Region& region) {
+  return folder + "/" + region.name + ".runs";
+}
+
+}  // namespace
+
+std::string Run::TargetRegion() const { return Prefix(this->target); }
+
+std::string Run::RouterRegion() const { return Prefix(this->router); }
+
+Call ModelCall(const std::string& organisation, uint32_t tokens) {
+  return {.method = "POST",
+          .path = "/v1/chat/completions",
+          .headers = {"authorization: Bearer key-of-" + organisation,
+                      "content-type: application/json"},
+          .body = R"({"model":"small","stream":true,"max_tokens":)" +
+                  std::to_string(tokens) +
+                  R"(,"messages":[{"role":"user","content":"nonce"}]})"};
+}
+
+Fleet::Fleet(const FleetOptions& fleet_options)
+    : relay(fleet_options.links), options(fleet_options) {
+  for (size_t i = 0; i < kRegions; ++i) {
+    Region& region = this->regions[i];
+    region.name = kNames[i];
+    region.control_reached_at =
+        this->relay.Add(region.name, region.control_peer);
+    for (size_t k = 0; k < kRouters; ++k) {
+      Router& router = region.routers[k];
+      router.name = region.name + "-r" + std::to_string(k + 1);
+      router.reached_at = this->relay.Add(region.name, router.peer);
+    }
+  }
+  for (Region& region : this->regions) this->StartControl(region);
+  for (size_t i = 0; i < kRegions; ++i) {
+    Region& region = this->regions[i];
+    for (Router& router : region.routers) this->StartRouter(region, router);
+    this->StartTargets(region, this->options.slots[i]);
+  }
+  for (const char* organisation : kOrganisations) {
+    Expect(testing::WaitUntil(
+               [&] { return this->PutContract(organisation) == 200; }),
+           organisation);
+  }
+  for (const Region& region : this->regions) {
+    for (const Router& router : region.routers) {
+      for (const char* organisation : kOrganisations) {
+        Expect(testing::WaitUntil([&] {
+                 return Ask(router.caller, ModelCall(organisation, 1)).status ==
+                        200;
+               }),
+               router.name);
+      }
+    }
+  }
+}
+
+std::string Fleet::Log(const std::string& name) const {
+  return Flag("log-file", this->folder.path() + "/" + name + ".log");
+}
+
+void Fleet::StartControl(Region& region) const {
+  const std::string name = region.name + "-c";
+  std::vector<std::string> flags = {
+      "control",
+      Flag("instance", name),
+      Flag("region", region.name),
+      Flag("availability-zone", region.name),
+      Flag("peer-port", region.control_peer),
+      Flag("operator-port", region.control_operator),
+      Flag("data-folder", this->folder.path() + "/" + name),
+      "--bootstrap",
+      this->Log(name)};
+  for (const Region& member : this->regions) {
+    flags.push_back(
+        Flag("member", member.name + "-c=" + At(member.control_reached_at)));
+  }
+  region.control = StartProgram(flags);
+}
+
+void Fleet::StartRouter(Region& region, Router& router) const {
+  std::vector<std::string> flags = {"router",
+                                    Flag("instance", router.name),
+                                    Flag("region", region.name),
+                                    Flag("availability-zone", region.name),
+                                    Flag("caller-port", router.caller),
+                                    Flag("admin-port", router.admin),
+                                    Flag("peer-port", router.peer),
+                                    Flag("peer-address", At(router.reached_at)),
+                                    this->Log(router.name)};
+  for (const Region& member : this->regions) {
+    flags.push_back(Flag("control", At(member.control_reached_at)));
+  }
+  router.process = StartProgram(flags);
+}
+
+void Fleet::StartTargets(Region& region, uint32_t slots) const {
+  if (slots == 0) return;
+  std::vector<std::string> flags = {
+      "emulator",
+      Flag("id-prefix", region.name),
+      Flag("region", region.name),
+      Flag("availability-zone", region.name),
+      Flag("slots", slots),
+      Flag("tokens-per-second", this->options.tokens_per_second),
+      Flag("model", "small"),
+      Flag("runs-file", RunsPath(this->folder.path(), region))};
+  for (const Router& router : region.routers) {
+    flags.push_back(Flag("router", At(router.admin)));
+  }
+  region.targets = StartProgram(flags);
+}
+
+Reply Fleet::Operate(const Call& call) const {
+  Reply reply;
+  for (const Region& region : this->regions) {
+    reply = Ask(region.control_operator, call);
+    if (reply.status == 200) return reply;
+  }
+  return reply;
+}
+
+int Fleet::PutContract(const std::string& organisation) const {
+  const std::string hash = contracts::KeyHash("key-of-" + organisation);
+  return this
+      ->Operate({.method = "PUT",
+                 .path = "/operator/v1/contracts/" + organisation,
+                 .headers = {kOperator, "change-id: put-" + organisation,
+                             "if-match: 0", "content-type: application/json"},
+                 .body = R"({"key_hashes":[")" + hash + R"("]})"})
+      .status;
+}
+
+int Fleet::DeclareTarget(const std::string& target,
+                         const std::string& intent) const {
+  return this
+      ->Operate({.method = "PUT",
+                 .path = "/operator/v1/targets/" + target + "?wait=true",
+                 .headers = {kOperator, "change-id: " + intent + target},
+                 .body = R"({"intent":")" + intent + "\"}"})
+      .status;
+}
+
+Load Fleet::Start(Load load, const std::vector<const Router*>& routers) const {
+  const std::string path = this->folder.path() + "/" + load.organisation + "-" +
+                           std::to_string(load.seed) + ".json";
+  std::ofstream(path) << json{{"organisations",
+                               {{{"organisation", load.organisation},
+                                 {"key", "key-of-" + load.organisation},
+                                 {"service", "small"},
+                                 {"concurrency", load.concurrency},
+                                 {"max_tokens", load.max_tokens}}}}};
+  std::string command = std::string(SAMPHIREBANK_BINARY) + " load --json";
+  command += " " + Flag("organisations-file", path);
+  command += " " + Flag("requests", uint64_t{1'000'000});
+  command +=
+      " " + Flag("length-ms", static_cast<uint64_t>(load.length.count()));
+  command += " " + Flag("seed", load.seed);
+  for (const Router* router : routers) {
+    command += " " + Flag("router", At(router->caller));
+  }
+  load.output = popen(command.c_str(), "r");
+  return load;
+}
+
+Result Fleet::Finish(const Load& load) {
+  Result result;
+  std::array<char, 4096> piece{};
+  while (fgets(piece.data(), piece.size(), load.output) != nullptr) {
+    result.text += piece.data();
+  }
+  pclose(load.output);
+  const json told = json::parse(result.text).at("organisations").at(0);
+  result.sent = told.at("sent");
+  result.answered = told.at("answered");
+  result.tokens = told.at("tokens");
+  for (const auto& count : told.at("refused")) {
+    result.refused += count.get<uint64_t>();
+  }
+  result.lost = told.at("lost");
+  result.first_byte_ms_p95 = told.at("first_byte_ms_p95");
+  return result;
+}
+
+std::vector<Run> Fleet::Runs(const Region& region) const {
+  std::vector<Run> runs;
+  std::ifstream file(RunsPath(this->folder.path(), region));
+  for (std::string line; std::getline(file, line);) {
+    const json told = json::parse(line, nullptr, false);
+    if (!told.is_object()) continue;
+    const std::string request = told.at("request");
+    const size_t end = request.find('-', request.find('-') + 1);
+    runs.push_back({.target = told.at("target"),
+                    .router = request.substr(0, end),
+                    .nonce = told.at("nonce"),
+                    .state = told.at("state")});
+  }
+  return runs;
+}
+
+size_t Fleet::Started(const Region& region, const Region& callers) const {
+  const std::vector<Run> runs = this->Runs(region);
+  return static_cast<size_t>(std::ranges::count_if(runs, [&](const Run& run) {
+    return run.state == "started" && run.RouterRegion() == callers.name;
+  }));
+}
+
+size_t Fleet::Running(const Region& region) const {
+  size_t started = 0;
+  size_t ended = 0;
+  for (const Run& run : this->Runs(region)) {
+    ++(run.state == "started" ? started : ended);
+  }
+  return started - ended;
+}
+
+Router* Fleet::Holder(Region& region) const {
+  for (Router& router : region.routers) {
+    const Reply reply =
+        Ask(router.admin, {.path = "/status", .headers = {kOperator}});
+    const json status = json::parse(reply.body, nullptr, false);
+    if (!status.is_object()) continue;
+    for (const json& pool : status.at("schedules")) {
+      if (pool.at("region") == region.name) return &router;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace samphirebank::regions_test
--- /dev/null
+++ b/samphirebank/regions_test/regions_process_test.cc
@@ -0,0 +1,171 @@
+// Three regions as real processes: who serves whom while all is well.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <csignal>
+#include <map>
+#include <thread>
+
+#include "samphirebank/regions_test/regions_fleet.h"
+
+namespace samphirebank::regions_test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::Ask;
+using testing::Reply;
+using testing::WaitUntil;
+
+std::vector<const Router*> RoutersOf(const Region& region) {
+  return {&region.routers[0], &region.routers[1]};
+}
+
+size_t StartedFar(const Fleet& fleet) {
+  size_t count = 0;
+  for (const Region& region : fleet.regions) {
+    for (const Region& callers : fleet.regions) {
+      if (&region != &callers) count += fleet.Started(region, callers);
+    }
+  }
+  return count;
+}
+
+TEST_CASE(
+    "own targets first, idle ones of others next, until they are needed") {
+  Fleet fleet({});
+  const auto& [aqaba, amman, maan] = fleet.regions;
+  // With room in its own region, no call crosses; the first calls may have
+  // come before the region's own target.
+  const size_t before = StartedFar(fleet);
+  for (const Region& region : fleet.regions) {
+    for (const Router& router : region.routers) {
+      CHECK(Ask(router.caller, ModelCall("guides", 1)).status == 200);
+    }
+  }
+  CHECK(StartedFar(fleet) == before);
+
+  // More than its own region carries: it takes what idles elsewhere.
+  const Load flood = fleet.Start(
+      {.organisation = "guides", .concurrency = 24, .length = seconds(12)},
+      RoutersOf(aqaba));
+  CHECK(WaitUntil([&] {
+    return fleet.Running(aqaba) == 4 && fleet.Running(amman) == 4 &&
+           fleet.Running(maan) == 4;
+  }));
+
+  // The lender's own callers need its slots: they wait no longer than what
+  // runs there, and nothing more crosses to it.
+  const Load own = fleet.Start({.organisation = "desks",
+                                .concurrency = 16,
+                                .length = seconds(6),
+                                .seed = 2},
+                               RoutersOf(amman));
+  std::this_thread::sleep_for(seconds(3));
+  const size_t crossed = fleet.Started(amman, aqaba);
+  std::this_thread::sleep_for(seconds(2));
+  CHECK(fleet.Started(amman, aqaba) <= crossed + 2);
+  for (const Load* load : {&flood, &own}) {
+    const Result result = Fleet::Finish(*load);
+    INFO(result.text);
+    CHECK(result.answered == result.sent);
+    CHECK(result.lost == 0);
+  }
+}
+
+TEST_CASE("callers of a region without targets are served, or refused") {
+  Fleet fleet({.slots = {0, 4, 0}});
+  auto& [aqaba, amman, maan] = fleet.regions;
+  CHECK(fleet.Started(amman, aqaba) >= kRouters * kOrganisations.size());
+
+  // Targets come, and leave again.
+  fleet.StartTargets(aqaba, 4);
+  REQUIRE(WaitUntil([&] {
+    Ask(aqaba.routers[0].caller, ModelCall("guides", 1));
+    return fleet.Started(aqaba, aqaba) > 0;
+  }));
+  aqaba.targets->Signal(SIGTERM);
+  aqaba.targets->Wait();
+  for (const Router& router : aqaba.routers) {
+    const Reply reply = Ask(router.caller, ModelCall("guides", 1));
+    CHECK(reply.status == 200);
+  }
+
+  // No target anywhere.
+  amman.targets->Signal(SIGTERM);
+  amman.targets->Wait();
+  std::this_thread::sleep_for(seconds(2));
+  for (const Region& region : fleet.regions) {
+    const auto asked = std::chrono::steady_clock::now();
+    const Reply reply = Ask(region.routers[0].caller, ModelCall("guides", 1));
+    CHECK(reply.status == 503);
+    CHECK(reply.body.find("\"outcome\":\"not-run\"") != std::string::npos);
+    CHECK(std::chrono::steady_clock::now() - asked < seconds(10));
+  }
+}
+
+// Served adds up what organisations' requests received by now: a request runs
+// at a known speed from when its target recorded its start.
+struct Served {
+  static constexpr uint32_t kSpeed = 50;  // tokens a second
+  static constexpr uint32_t kCost = 100;  // tokens of each request
+  using Clock = std::chrono::steady_clock;
+
+  std::map<std::string, Clock::time_point> started;  // by nonce
+
+  void Look(const Fleet& fleet) {
+    for (const Region& region : fleet.regions) {
+      for (const Run& run : fleet.Runs(region)) {
+        this->started.try_emplace(run.nonce, Clock::now());
+      }
+    }
+  }
+
+  double Tokens(const std::string& organisation) const {
+    double tokens = 0;
+    for (const auto& [nonce, since] : this->started) {
+      if (!nonce.starts_with(organisation + ".")) continue;
+      const std::chrono::duration<double> span = Clock::now() - since;
+      tokens += std::min<double>(kCost, kSpeed * span.count());
+    }
+    return tokens;
+  }
+};
+
+TEST_CASE("two organisations at two regions with uneven targets share alike") {
+  Fleet fleet({.slots = {2, 8, 2}, .tokens_per_second = Served::kSpeed});
+  const auto& [aqaba, amman, maan] = fleet.regions;
+  const Load one = fleet.Start({.organisation = "guides",
+                                .concurrency = 20,
+                                .length = seconds(20),
+                                .max_tokens = Served::kCost},
+                               RoutersOf(aqaba));
+  const Load other = fleet.Start({.organisation = "desks",
+                                  .concurrency = 20,
+                                  .length = seconds(20),
+                                  .max_tokens = Served::kCost,
+                                  .seed = 2},
+                                 RoutersOf(amman));
+  Served served;
+  double gap = 0;
+  double most = 0;
+  const auto end = Served::Clock::now() + seconds(20);
+  while (Served::Clock::now() < end) {
+    std::this_thread::sleep_for(milliseconds(100));
+    served.Look(fleet);
+    gap = std::abs(served.Tokens("desks") - served.Tokens("guides"));
+    most = std::max(most, gap);
+  }
+  MESSAGE("gap of ", gap, " tokens, at most ", most, ", of ",
+          served.Tokens("guides"), " and ", served.Tokens("desks"));
+  // Twice the bound of one ideal queue, which is 2 * the largest cost.
+  CHECK(gap <= 2 * 2 * Served::kCost);
+  for (const Load* load : {&one, &other}) {
+    const Result result = Fleet::Finish(*load);
+    INFO(result.text);
+    CHECK(result.lost + result.refused == 0);
+  }
+}
+
+}  // namespace
+}  // namespace samphirebank::regions_test
--- a/samphirebank/router/router.cc
+++ b/samphirebank/router/router.cc
@@ -42,7 +42,9 @@
                                std::string_view bytes) {
          OnPacket(router, from, bytes);
        }});
-  router.peer_address = {.ip = identity.address, .port = router.peers->port()};
+  const net::SocketAddress bound{.ip = identity.address,
+                                 .port = router.peers->port()};
+  router.peer_address = router.settings.peer_address.value_or(bound);
 }
 
 void OpenServers(Router& router) {
--- a/samphirebank/settings/flag_kinds.cc
+++ b/samphirebank/settings/flag_kinds.cc
@@ -112,6 +112,18 @@
               }};
 }
 
+Flag AddressFlag(std::string name, std::string help,
+                 std::optional<net::SocketAddress>* into) {
+  return Flag{.name = std::move(name),
+              .argument = "IP:PORT",
+              .help = std::move(help),
+              .allowed = kAddressAllowed,
+              .take = [into](const std::string& value) {
+                *into = ParseAddress(value);
+                return into->has_value();
+              }};
+}
+
 Flag AddressesFlag(std::string name, std::string help,
                    std::vector<net::SocketAddress>* into) {
   return Flag{.name = std::move(name),
--- a/samphirebank/settings/internal/flags.h
+++ b/samphirebank/settings/internal/flags.h
@@ -95,6 +95,8 @@
 Flag TextFlag(std::string name, std::string help, std::string* into);
 Flag PortFlag(const std::string& name, const std::string& help, uint16_t* into);
 Flag IpFlag(std::string name, std::string help, std::string* into);
+Flag AddressFlag(std::string name, std::string help,
+                 std::optional<net::SocketAddress>* into);
 Flag AddressesFlag(std::string name, std::string help,
                    std::vector<net::SocketAddress>* into);
 Flag MillisecondsFlag(std::string name, std::string help, Bounds bounds,
--- a/samphirebank/settings/router.cc
+++ b/samphirebank/settings/router.cc
@@ -15,6 +15,10 @@
                    &into->admin_port),
           PortFlag("peer-port", "the port for other instances, UDP and TCP",
                    &into->peer_port),
+          AddressFlag("peer-address",
+                      "where others reach the peer port, if not at --address "
+                      "and --peer-port",
+                      &into->peer_address),
           Required(AddressesFlag(
               "control", "peer address of a control instance", &into->control)),
           FleetKeyFlag(&into->fleet_key), TargetTokenFlag(&into->target_token),
--- a/samphirebank/settings/settings.h
+++ b/samphirebank/settings/settings.h
@@ -80,6 +80,8 @@
   uint16_t caller_port = 8080;
   uint16_t admin_port = 8081;
   uint16_t peer_port = 8082;
+  // Where others reach the peer port; nothing: identity.address and peer_port.
+  std::optional<net::SocketAddress> peer_address = {};
   std::vector<net::SocketAddress> control = {};  // peer addresses
   Secret fleet_key = {};                         // 64 hexadecimal digits
   Secret target_token = {};
