--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -192,7 +192,7 @@
 
 void Server::OnPacket(const net::SocketAddress& /*from*/,
                       std::string_view message) {
-  this->traffic.bytes_received += message.size();
+  this->metrics.packet_bytes_received.Add(message.size());
   wire::leaf::try_handle_all(
       [&]() -> wire::leaf::result<void> {
         BOOST_LEAF_AUTO(opened, this->opener.Open(message));
@@ -209,7 +209,7 @@
             this->OnConfigUpdate(opened.packet);
             break;
           case wire::Kind::kPoolRequest:
-            this->OnPoolRequest(opened.packet);
+            this->OnPoolRequest(opened);
             break;
           case wire::Kind::kClaimRequest:
             this->OnClaimRequest(opened);
@@ -254,12 +254,17 @@
   lease::OnUpdate(this->holder, proof_only, net::Loop::Now());
 }
 
-void Server::OnPoolRequest(const wire::Packet& packet) {
-  if (!this->replication->leads()) return this->ForwardToLeader(packet);
-  const auto request = Decoded<assignment::PoolRequest>(packet);
+void Server::OnPoolRequest(const wire::Opened& opened) {
+  const auto request = Decoded<assignment::PoolRequest>(opened.packet);
   if (!request) return;
-  Epoch& failed = this->wanted[request->pool];
-  failed = std::max(failed, request->failed);
+  const bool is_asker = request->asker == opened.from;
+  if (!is_asker && !this->IsMember(opened.from)) return;
+  if (!this->replication->leads()) {
+    if (is_asker) this->ForwardToLeader(opened.packet);
+    return;
+  }
+  assignment::NoteRequest(
+      this->wanted, this->state.contracts.history.configuration, *request);
 }
 
 void Server::OnClaimRequest(const wire::Opened& opened) {
@@ -297,8 +302,8 @@
   packet.clock_ms = stamp.wall_ms;
   packet.clock_logical = stamp.logical;
   const std::string bytes = this->sealer.Seal(packet);
-  this->traffic.packets_sent += 1;
-  this->traffic.bytes_sent += bytes.size();
+  this->metrics.packets_sent.Add(1);
+  this->metrics.packet_bytes_sent.Add(bytes.size());
   this->peers->Send(to, bytes);
 }
 
--- a/samphirebank/scheduler/internal/loans.h
+++ b/samphirebank/scheduler/internal/loans.h
@@ -27,7 +27,7 @@
 // requests wait, else only what is free.
 uint32_t NearCapacity(const Scheduler& scheduler, TimePoint now);
 
-// HasTargets says whether a target of this region may be granted requests.
+// HasTargets says whether a target of this region offers to serve.
 bool HasTargets(const Scheduler& scheduler, TimePoint now);
 
 // NoteTargets notes whether any region has targets now.
--- a/samphirebank/scheduler/loans.cc
+++ b/samphirebank/scheduler/loans.cc
@@ -299,7 +299,7 @@
 
 bool HasTargets(const Scheduler& scheduler, TimePoint now) {
   return std::ranges::any_of(scheduler.targets, [&](const auto& item) {
-    return !item.second.far && Serves(scheduler, item.second, now);
+    return !item.second.far && Stands(scheduler, item.second, now);
   });
 }
 
--- a/samphirebank/scheduler/share.cc
+++ b/samphirebank/scheduler/share.cc
@@ -30,7 +30,7 @@
     scheduler.saturated_since = now;
   }
   if (!room) scheduler.relaxed_since = now;
-  const bool none = NearCapacity(scheduler, now) == 0;
+  const bool none = !HasTargets(scheduler, now);
   const Duration after = none ? Duration::zero() : kSpillAfter;
   if (scheduler.saturated && now - scheduler.saturated_since >= after) {
     scheduler.spilling = true;
--- a/samphirebank/scheduler/targets.cc
+++ b/samphirebank/scheduler/targets.cc
@@ -24,6 +24,21 @@
   return std::chrono::duration<double>(span).count();
 }
 
+// kDriftAllowance covers clocks that differ over a grant's lifetime.
+constexpr Duration kDriftAllowance = std::chrono::milliseconds(10);
+
+// AwaitsOldGrants says whether an order under an older epoch could still reach
+// a target that would run it.
+bool AwaitsOldGrants(const Scheduler& scheduler, const Target& target,
+                     TimePoint now) {
+  const Options& options = scheduler.options;
+  if (scheduler.epoch <= Epoch(1) || target.traits.checks_fencing) return false;
+  const Duration old_grants =
+      options.old_lease + options.grant_lifetime + kDriftAllowance;
+  return options.old_lease > Duration::zero() &&
+         now - scheduler.created_at < old_grants;
+}
+
 uint32_t Limit(const Target& target) {
   return target.far ? target.borrowed : capacity::Limit(target.capacity);
 }
@@ -74,16 +89,20 @@
 
 }  // namespace
 
-bool Serves(const Scheduler& scheduler, const Target& target, TimePoint now) {
+bool Stands(const Scheduler& scheduler, const Target& target, TimePoint now) {
   using contracts::TargetIntent;
   if (target.declared != TargetIntent::kServing) return false;
-  if (target.far) {
-    return scheduler.spilling &&
-           now + scheduler.options.grant_lifetime <= target.borrowed_until;
-  }
+  if (target.far) return now < target.borrowed_until;
   if (!target.known || target.intent != TargetIntent::kServing) return false;
-  if (now - target.heard_at >= scheduler.options.suspect_after) return false;
-  return now >= target.trusted_at;
+  return now - target.heard_at < scheduler.options.suspect_after;
+}
+
+bool Serves(const Scheduler& scheduler, const Target& target, TimePoint now) {
+  if (AwaitsOldGrants(scheduler, target, now)) return false;
+  if (!Stands(scheduler, target, now)) return false;
+  if (!target.far) return now >= target.trusted_at;
+  return scheduler.spilling &&
+         now + scheduler.options.grant_lifetime <= target.borrowed_until;
 }
 
 uint32_t LoansUsed(const Target& target) {
