Cut slow and silent callers with a reason, and bound what bodies and slow readers hold

Seen failing on the product before this change: event 210 caller-left was never logged (0 of 200 cuts had a reason, in each case); bodies that trickle in were dropped without an answer (0 of 200 had 408); 200 half-sent bodies of 4 MiB took the router to 416 MiB. What held already: requests on silent connections to targets ended in time (504 unknown, or cut), new ones were served, sockets went back.

Change: own limits for heads, bodies and answers, shorter than the kernel's and the library's, so that the reason is known; 408 not-run for a slow body; room for bodies, 16 MiB an organisation and 48 MiB in all, else 429 not-run; socket buffers of 128 KiB. Without the buffers 130 of 200 readers were cut by TCP_USER_TIMEOUT before the own limit. A caller's backlog went from 256 KiB to 64 KiB: 200 callers that read nothing of an endless stream held 67 MiB, now 28.

--- a/samphirebank/emulator/target.cc
+++ b/samphirebank/emulator/target.cc
@@ -99,7 +99,7 @@
   if (faulty) run->fault = this->settings->fault;
   stream->on_body = [run](std::string_view piece) { run->body += piece; };
   stream->on_body_end = [this, run] { this->OnBody(run); };
-  stream->on_closed = [this, run, living = this->alive] {
+  stream->on_closed = [this, run, living = this->alive](net::CloseReason) {
     if (*living) this->End(run, "cut");
   };
 }
--- a/samphirebank/events/catalogue.cc
+++ b/samphirebank/events/catalogue.cc
@@ -42,7 +42,7 @@
       {Number::kRequestRetried, "request-retried", kInfo, "A request that did not run is tried again.", {"request", "organisation", "target", "reason", "count"}},
       {Number::kRequestResumed, "request-resumed", kInfo, "A cut stream goes on.", {"request", "organisation", "target", "bytes", "count"}},
       {Number::kRequestCut, "request-cut", kWarning, "A caller's answer ended before it was whole.", {"request", "organisation", "service", "target", "tokens", "bytes", "duration_ms", "outcome", "reason"}},
-      {Number::kCallerLeft, "caller-left", kInfo, "A caller went away before its answer ended.", {"request", "organisation", "target", "reason"}},
+      {Number::kCallerLeft, "caller-left", kInfo, "A caller went away, or was cut as too slow, before its answer ended.", {"request", "organisation", "target", "reason"}},
 
       {Number::kTargetAnnounced, "target-announced", kInfo, "A target is new, or came back.", {"target", "address", "region", "service", "count"}},
       {Number::kTargetLost, "target-lost", kWarning, "A target stopped renewing its announcement.", {"target", "duration_ms"}},
--- a/samphirebank/net/client.cc
+++ b/samphirebank/net/client.cc
@@ -133,6 +133,7 @@
 bool ClientCallImpl::OnAppendHeaders(unsigned char** at, unsigned char* end) {
   this->send_state = SendState::kSent;
   SetSilenceLimits(lws_get_socket_fd(this->wsi), kSilenceLimit);
+  BoundBuffer(lws_get_socket_fd(this->wsi), SO_RCVBUF);
   this->SetTimer(this->request.first_byte_timeout, "no answer began in time");
   for (const Header& header : this->request.headers) {
     if (!AddHeader(this->wsi, header, at, end)) return false;
--- a/samphirebank/net/internal/loop_impl.h
+++ b/samphirebank/net/internal/loop_impl.h
@@ -57,6 +57,8 @@
   std::map<TimerId, std::unique_ptr<Timer>> timers;
   std::vector<std::unique_ptr<ServerVhost>> servers;
   std::unordered_map<lws*, std::shared_ptr<ServerStreamImpl>> streams;
+  // Connections to a server whose next request's head is awaited.
+  std::unordered_map<lws*, TimerId> awaited_heads;
   std::unordered_map<ClientCallImpl*, std::shared_ptr<ClientCallImpl>> calls;
   std::map<int, std::function<void()>> signal_actions;
   std::unique_ptr<RawHandler> signal_reader;
@@ -85,6 +87,19 @@
 // stops acknowledging, within `limit`.
 void SetSilenceLimits(int socket, Duration limit);
 
+// BoundBuffer limits what the kernel keeps of a stream, so that a slow reader
+// holds back the sender: `direction` is SO_SNDBUF or SO_RCVBUF.
+void BoundBuffer(int socket, int direction);
+
+// AwaitHead closes `wsi` unless a whole request head arrives within `limit`;
+// `on_lapse` may be empty. StopAwaiting ends the wait.
+void AwaitHead(LoopState& impl, lws* wsi, Duration limit,
+               std::function<void()> on_lapse);
+void StopAwaiting(LoopState& impl, lws* wsi);
+
+// kKeepaliveTimeout is how long a connection may wait for its next request.
+inline constexpr std::chrono::seconds kKeepaliveTimeout(30);
+
 // kSilenceLimit bounds how long a dead TCP peer goes unnoticed.
 inline constexpr Duration kSilenceLimit = std::chrono::seconds(10);
 
--- a/samphirebank/net/internal/server_stream.h
+++ b/samphirebank/net/internal/server_stream.h
@@ -61,8 +61,10 @@
   bool CompleteTransaction();
   void WantWrite();
   void StartWriteTimer();
+  void StartReadTimer();
   void StopTimer(TimerId& timer);
-  void Cut();
+  void OnSlowBody();
+  void Cut(CloseReason reason);
 
   LoopState& impl;
   ServerVhost& server;
@@ -79,6 +81,8 @@
   bool close_after = false;
   bool body_ended = false;
   bool response_out = false;
+  CloseReason close_reason = CloseReason::kHungUp;
+  TimePoint read_until;
   TimerId read_timer;
   TimerId write_timer;
 };
--- a/samphirebank/net/loop.cc
+++ b/samphirebank/net/loop.cc
@@ -19,6 +19,7 @@
 constexpr int kMaxHeaderBytes = 8'192;
 constexpr int kMaxHeaderTables = 8'192;
 constexpr int kHeaderTimeoutSeconds = 10;
+constexpr int kBufferBytes = 131'072;
 constexpr int kKeepaliveIdleSeconds = 5;
 constexpr int kKeepaliveProbes = 3;
 constexpr int kKeepaliveIntervalSeconds = 2;
@@ -130,6 +131,11 @@
              sizeof(kKeepaliveProbes));
 }
 
+void BoundBuffer(int socket, int direction) {
+  setsockopt(socket, SOL_SOCKET, direction, &kBufferBytes,
+             sizeof(kBufferBytes));
+}
+
 lws* AdoptDescriptor(LoopState& impl, int descriptor, RawHandler* handler) {
   lws_sock_file_fd_type file{};
   file.filefd = descriptor;
--- a/samphirebank/net/net.h
+++ b/samphirebank/net/net.h
@@ -75,6 +75,18 @@
   std::vector<Header> headers;
 };
 
+// CloseReason says why a caller's connection ended before its answer was out.
+enum class CloseReason : uint8_t {
+  kHungUp,      // the caller closed it
+  kLost,        // the caller's side stopped acknowledging
+  kSlowHead,    // the request's head did not arrive in time
+  kSlowBody,    // its body did not
+  kSlowReader,  // the caller did not take its answer
+};
+
+// ToText returns the reason as one word, for logs.
+std::string_view ToText(CloseReason reason);
+
 // ServerStream is the server's side of one request. It stays valid while a
 // shared pointer to it is held; once closed, all calls do nothing.
 class ServerStream {
@@ -89,8 +101,9 @@
   std::function<void()> on_body_end;              // the whole body was read
   std::function<void()> on_drained;               // all queued output is out
   // on_closed reports that the connection ended before Finish or Reply were
-  // delivered (the caller went away).
-  std::function<void()> on_closed;
+  // delivered, but not after Abort. A body that comes too slowly is answered
+  // by the server itself, with 408.
+  std::function<void(CloseReason)> on_closed;
 
   // SendHead starts a response. Without `length` the body is chunked.
   virtual void SendHead(int status, std::vector<Header> headers,
@@ -114,11 +127,17 @@
   std::string address = "127.0.0.1";
   uint16_t port = 0;                // 0: the kernel chooses
   Bytes max_body = Bytes(4 << 20);  // a larger body gets 413
-  // Longest time to read a whole request; a slower one is cut (408).
+  // Longest time from a connection's start to its first request's whole head.
+  Duration head_timeout = std::chrono::seconds(8);
+  // Longest time to read a whole body, and between two pieces of it; a slower
+  // request gets 408.
   Duration request_timeout = std::chrono::seconds(20);
+  Duration body_pause = std::chrono::seconds(8);
   // Longest time without progress in sending a response.
-  Duration write_timeout = std::chrono::seconds(30);
+  Duration write_timeout = std::chrono::seconds(8);
   uint32_t max_connections = 4096;
+  // on_slow_head reports a connection that was cut at head_timeout.
+  std::function<void()> on_slow_head;
   // on_request is called when the head has been read.
   std::function<void(const std::shared_ptr<ServerStream>&)> on_request;
 };
--- a/samphirebank/net/net_test.cc
+++ b/samphirebank/net/net_test.cc
@@ -196,7 +196,7 @@
   bool closed = false;
   const uint16_t port = loop.Listen(
       {.on_request = [&](const std::shared_ptr<ServerStream>& stream) {
-        stream->on_closed = [&] {
+        stream->on_closed = [&](CloseReason) {
           closed = true;
           loop.Stop();
         };
--- a/samphirebank/net/server.cc
+++ b/samphirebank/net/server.cc
@@ -1,3 +1,5 @@
+#include <sys/socket.h>
+
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -11,7 +13,6 @@
 namespace samphirebank::net {
 namespace {
 
-constexpr int kKeepaliveTimeoutSeconds = 30;
 constexpr int kHeaderTimeoutSeconds = 10;
 
 ServerVhost* VhostOf(lws* wsi) {
@@ -48,8 +49,10 @@
   LoopState& impl = OfContext(wsi);
   ServerVhost* const server = VhostOf(wsi);
   if (server == nullptr) return -1;
+  StopAwaiting(impl, wsi);
   lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
   SetSilenceLimits(lws_get_socket_fd(wsi), kSilenceLimit);
+  BoundBuffer(lws_get_socket_fd(wsi), SO_SNDBUF);
   RequestHead head;
   const internal::RequestFault fault = internal::ReadRequestHead(wsi, head);
   const Bytes length = head.content_length.value_or(Bytes(0));
@@ -84,23 +87,52 @@
          server->connections < server->options.max_connections;
 }
 
-void CountConnection(lws* wsi, int change) {
+void OnConnection(lws* wsi) {
+  ServerVhost* const server = VhostOf(wsi);
+  if (server == nullptr) return;
+  server->connections += 1;
+  AwaitHead(OfContext(wsi), wsi, server->options.head_timeout,
+            server->options.on_slow_head);
+}
+
+void OnConnectionEnd(lws* wsi) {
   ServerVhost* const server = VhostOf(wsi);
-  if (server != nullptr) server->connections += change;
+  if (server == nullptr) return;
+  server->connections -= 1;
+  StopAwaiting(OfContext(wsi), wsi);
 }
 
 }  // namespace
 
+void AwaitHead(LoopState& impl, lws* wsi, Duration limit,
+               std::function<void()> on_lapse) {
+  StopAwaiting(impl, wsi);
+  impl.awaited_heads[wsi] =
+      impl.loop->After(limit, [&impl, wsi, lapse = std::move(on_lapse)] {
+        impl.awaited_heads.erase(wsi);
+        lws_set_timeout(wsi, PENDING_TIMEOUT_USER_REASON_BASE,
+                        LWS_TO_KILL_ASYNC);
+        if (lapse) lapse();
+      });
+}
+
+void StopAwaiting(LoopState& impl, lws* wsi) {
+  const auto found = impl.awaited_heads.find(wsi);
+  if (found == impl.awaited_heads.end()) return;
+  impl.loop->Cancel(found->second);
+  impl.awaited_heads.erase(found);
+}
+
 int ServerCallback(lws* wsi, lws_callback_reasons reason, void* /*user*/,
                    void* in, size_t length) {
   switch (reason) {
     case LWS_CALLBACK_FILTER_NETWORK_CONNECTION:
       return AdmitConnection(wsi) ? 0 : 1;
     case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
-      CountConnection(wsi, 1);
+      OnConnection(wsi);
       return 0;
     case LWS_CALLBACK_WSI_DESTROY:
-      CountConnection(wsi, -1);
+      OnConnectionEnd(wsi);
       return 0;
     case LWS_CALLBACK_HTTP:
       return OnRequest(wsi);
@@ -139,7 +171,7 @@
   info.vhost_name = name.c_str();
   info.protocols = Protocols();
   info.user = server.get();
-  info.keepalive_timeout = kKeepaliveTimeoutSeconds;
+  info.keepalive_timeout = static_cast<int>(kKeepaliveTimeout.count());
   info.timeout_secs = kHeaderTimeoutSeconds;
   info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
   server->vhost = lws_create_vhost(this->impl->context, &info);
--- a/samphirebank/net/server_stream.cc
+++ b/samphirebank/net/server_stream.cc
@@ -1,7 +1,10 @@
 #include "samphirebank/net/internal/server_stream.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <cstdio>
 #include <string>
 #include <string_view>
@@ -37,6 +40,14 @@
   return lws_write(wsi, buffer.data() + LWS_PRE, bytes.size(), kind) >= 0;
 }
 
+// SocketError returns and clears the error that the system noted.
+int SocketError(int descriptor) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+  return error;
+}
+
 std::string ChunkOf(std::string_view piece) {
   std::array<char, kMaxFrameBytes> size_line{};
   std::snprintf(size_line.data(), size_line.size(), "%zx\r\n", piece.size());
@@ -48,6 +59,22 @@
 
 }  // namespace
 
+std::string_view ToText(CloseReason reason) {
+  switch (reason) {
+    case CloseReason::kHungUp:
+      return "hung-up";
+    case CloseReason::kLost:
+      return "lost";
+    case CloseReason::kSlowHead:
+      return "slow-head";
+    case CloseReason::kSlowBody:
+      return "slow-body";
+    case CloseReason::kSlowReader:
+      return "slow-reader";
+  }
+  return "hung-up";
+}
+
 ServerStreamImpl::ServerStreamImpl(LoopState& owner, ServerVhost& vhost,
                                    lws* connection, RequestHead request)
     : impl(owner),
@@ -57,10 +84,9 @@
   this->body_ended =
       this->request_head.content_length.value_or(Bytes(0)) == Bytes(0);
   if (this->body_ended) this->WatchCaller();
-  if (!this->body_ended) {
-    this->read_timer = this->impl.loop->After(
-        this->server.options.request_timeout, [this] { this->Cut(); });
-  }
+  if (this->body_ended) return;
+  this->read_until = Loop::Now() + this->server.options.request_timeout;
+  this->StartReadTimer();
 }
 
 ServerStreamImpl::~ServerStreamImpl() {
@@ -69,8 +95,32 @@
 }
 
 void ServerStreamImpl::WatchCaller() {
-  this->impl.hangups->Watch(lws_get_socket_fd(this->wsi),
-                            [this] { this->Cut(); });
+  const int descriptor = lws_get_socket_fd(this->wsi);
+  this->impl.hangups->Watch(descriptor, [this, descriptor] {
+    const bool lost = SocketError(descriptor) == ETIMEDOUT;
+    this->Cut(lost ? CloseReason::kLost : CloseReason::kHungUp);
+  });
+}
+
+void ServerStreamImpl::StartReadTimer() {
+  this->StopTimer(this->read_timer);
+  const Duration left = this->read_until - Loop::Now();
+  this->read_timer =
+      this->impl.loop->After(std::min(left, this->server.options.body_pause),
+                             [this] { this->OnSlowBody(); });
+}
+
+void ServerStreamImpl::OnSlowBody() {
+  this->read_timer = TimerId();
+  const bool answered = this->pending_head || this->head_sent;
+  if (answered) {
+    this->Cut(CloseReason::kSlowBody);
+    return;
+  }
+  const std::function<void(CloseReason)> handler = std::move(this->on_closed);
+  this->on_closed = nullptr;
+  this->RefuseAndClose(408, "the request did not arrive in time");
+  if (handler) handler(CloseReason::kSlowBody);
 }
 
 void ServerStreamImpl::StopTimer(TimerId& timer) {
@@ -78,8 +128,9 @@
   timer = TimerId();
 }
 
-void ServerStreamImpl::Cut() {
+void ServerStreamImpl::Cut(CloseReason reason) {
   if (this->wsi == nullptr) return;
+  this->close_reason = reason;
   lws_set_timeout(this->wsi, PENDING_TIMEOUT_USER_REASON_BASE,
                   LWS_TO_KILL_ASYNC);
 }
@@ -92,8 +143,9 @@
 
 void ServerStreamImpl::StartWriteTimer() {
   this->StopTimer(this->write_timer);
-  this->write_timer = this->impl.loop->After(this->server.options.write_timeout,
-                                             [this] { this->Cut(); });
+  this->write_timer =
+      this->impl.loop->After(this->server.options.write_timeout,
+                             [this] { this->Cut(CloseReason::kSlowReader); });
 }
 
 void ServerStreamImpl::SendHead(int status, std::vector<Header> headers,
@@ -149,6 +201,7 @@
 void ServerStreamImpl::OnBody(std::string_view piece) {
   if (this->body_ended || this->finished) return;
   this->body_read += Bytes(static_cast<int64_t>(piece.size()));
+  this->StartReadTimer();
   if (this->on_body) this->on_body(piece);
 }
 
@@ -232,6 +285,7 @@
       this->impl.streams.at(connection);
   this->impl.streams.erase(connection);
   this->Detach();
+  AwaitHead(this->impl, connection, kKeepaliveTimeout, nullptr);
   return lws_http_transaction_completed(connection) == 0;
 }
 
@@ -243,8 +297,10 @@
   this->StopTimer(this->write_timer);
   this->output.clear();
   this->queued_bytes = Bytes(0);
-  const std::function<void()> closed_handler = std::move(this->on_closed);
-  if (!this->response_out && closed_handler) closed_handler();
+  const auto closed_handler = std::move(this->on_closed);
+  this->on_closed = nullptr;
+  const bool tells = !this->response_out && !this->aborted;
+  if (tells && closed_handler) closed_handler(this->close_reason);
   // Handlers often hold this stream; dropping them breaks the cycle.
   this->on_body = nullptr;
   this->on_body_end = nullptr;
--- a/samphirebank/outcomes_test/fleet.cc
+++ b/samphirebank/outcomes_test/fleet.cc
@@ -61,13 +61,16 @@
   return count;
 }
 
-void PutContract(const Fleet& fleet, const std::string& fields) {
+void PutContract(const Fleet& fleet, const std::string& organisation,
+                 const std::string& fields) {
   const testing::Call call = {
       .method = "PUT",
-      .path = "/operator/v1/contracts/guides",
-      .headers = {kOperator, kJson, "change-id: first", "if-match: 0"},
-      .body = R"({"key_hashes":[")" + contracts::KeyHash("key-of-guides") +
-              "\"]," + fields + "}"};
+      .path = "/operator/v1/contracts/" + organisation,
+      .headers = {kOperator, kJson, "change-id: put-" + organisation,
+                  "if-match: 0"},
+      .body = R"({"key_hashes":[")" +
+              contracts::KeyHash("key-of-" + organisation) + "\"]," + fields +
+              "}"};
   const bool accepted = testing::WaitUntil([&] {
     for (const Member& member : fleet.members) {
       if (testing::Ask(member.operators, call).status == 200) return true;
@@ -82,7 +85,8 @@
 Fleet::Fleet(FleetOptions options)
     : members(options.controls), entries(options.routers) {
   this->StartAll();
-  PutContract(*this, options.contract);
+  PutContract(*this, "guides", options.contract);
+  PutContract(*this, "desks", options.contract);
 }
 
 void Fleet::StartControl(size_t index) {
@@ -176,11 +180,13 @@
           .body = body};
 }
 
-testing::Call Fleet::CompletionCall(const std::string& nonce, int tokens) {
+testing::Call Fleet::CompletionCall(const std::string& nonce, int tokens,
+                                    const std::string& model,
+                                    const std::string& organisation) {
   return {.method = "POST",
           .path = "/v1/completions",
-          .headers = {kCaller, kJson},
-          .body = R"({"model":"small","stream":true,"max_tokens":)" +
+          .headers = {"authorization: Bearer key-of-" + organisation, kJson},
+          .body = R"({"model":")" + model + R"(","stream":true,"max_tokens":)" +
                   std::to_string(tokens) + R"(,"prompt":")" + nonce + "\"}"};
 }
 
@@ -205,6 +211,15 @@
   return CountLines(this->folder.path() + "/" + name + ".log", parts);
 }
 
+int Fleet::Requests(size_t router) const {
+  const std::string name = "\"requests\":";
+  const testing::Reply reply = testing::Ask(
+      this->entries[router].admin, {.path = "/status", .headers = {kOperator}});
+  const size_t at = reply.body.find(name);
+  if (at == std::string::npos) return -1;
+  return std::atoi(reply.body.c_str() + at + name.size());
+}
+
 void Fleet::Ready() const {
   for (const Entry& entry : this->entries) {
     const bool answered = testing::WaitUntil([&] {
@@ -216,16 +231,17 @@
 }
 
 Announcer::Announcer(const Entry& router, const std::string& name,
-                     uint16_t port) {
+                     uint16_t port, const std::string& model) {
   const testing::Call call = {
       .method = "POST",
       .path = "/targets/v1/announce",
       .headers = {kTarget, kJson},
       .body = R"({"region":"south","availability_zone":"a","slots":256,)"
               R"("echoes_request_id":true,"states_not_run":true,)"
-              R"("services":[{"name":"small","kind":"model",)"
-              R"("repeatable":true},{"name":"pay","kind":"service"}],"id":")" +
-              name + R"(","address":")" + Loopback(port) + "\"}"};
+              R"("services":[{"name":"pay","kind":"service"},)"
+              R"({"kind":"model","repeatable":true,"name":")" +
+              model + R"("}],"id":")" + name + R"(","address":")" +
+              Loopback(port) + "\"}"};
   this->thread = std::thread([this, call, admin = router.admin] {
     while (!this->stopping) {
       testing::Ask(admin, call);
--- a/samphirebank/outcomes_test/internal/fleet.h
+++ b/samphirebank/outcomes_test/internal/fleet.h
@@ -45,12 +45,12 @@
 struct FleetOptions {
   size_t controls = 1;
   size_t routers = 2;
-  // JSON fields of the contract of the one organisation.
+  // JSON fields of the contracts of "guides" and "desks".
   std::string contract = R"("deadline_ms":4000)";
 };
 
 // Fleet serves the model "small" and the service "pay", whose calls may run
-// once, to one organisation. It starts no target.
+// once, to two organisations. It starts no target.
 struct Fleet {
   explicit Fleet(FleetOptions options);
 
@@ -70,7 +70,9 @@
   uint16_t Port(const std::string& name) const;
   // PayCall is a call that may run once, CompletionCall an event stream.
   static testing::Call PayCall(const std::string& key, const std::string& body);
-  static testing::Call CompletionCall(const std::string& nonce, int tokens);
+  static testing::Call CompletionCall(
+      const std::string& nonce, int tokens, const std::string& model = "small",
+      const std::string& organisation = "guides");
   testing::Reply Pay(size_t router, const std::string& key,
                      const std::string& body) const;
 
@@ -79,6 +81,8 @@
   // Events counts the lines of a process's log with each of `parts`.
   int Events(const std::string& name,
              const std::vector<std::string>& parts) const;
+  // Requests counts the requests that a router holds.
+  int Requests(size_t router) const;
   // Ready waits until each router answers a completion.
   void Ready() const;
 
@@ -91,7 +95,8 @@
 // target, which may then be reached through another port.
 class Announcer {
  public:
-  Announcer(const Entry& router, const std::string& name, uint16_t port);
+  Announcer(const Entry& router, const std::string& name, uint16_t port,
+            const std::string& model = "small");
   ~Announcer();
   Announcer(const Announcer&) = delete;
   Announcer& operator=(const Announcer&) = delete;
--- a/samphirebank/router/actions.cc
+++ b/samphirebank/router/actions.cc
@@ -191,7 +191,10 @@
   }
   CancelAttempt(router, request);
   router.loop.Cancel(request.deadline_timer);
-  request.stream->on_closed = nullptr;
+  // The end of an answer may still be on its way out.
+  request.stream->on_closed =
+      [id = request.id, organisation = request.organisation](
+          net::CloseReason reason) { LogLeft(id, organisation, reason); };
   request.stream->on_drained = nullptr;
   router.requests.erase(request.id);
 }
--- a/samphirebank/router/attempts.cc
+++ b/samphirebank/router/attempts.cc
@@ -17,7 +17,7 @@
 constexpr Duration kConnectLimit = std::chrono::seconds(2);
 // Output that a slow caller has not taken; above it the target's stream is
 // held back.
-constexpr Bytes kCallerBacklog = Bytes(256 << 10);
+constexpr Bytes kCallerBacklog = Bytes(64 << 10);
 // Headers that tell a target which order is newer.
 constexpr std::string_view kFenceHeader = "samphirebank-fence";
 
--- a/samphirebank/router/callers.cc
+++ b/samphirebank/router/callers.cc
@@ -23,6 +23,7 @@
 // the balancer has turned elsewhere.
 constexpr Duration kNoLeaseRetry = std::chrono::seconds(2);
 constexpr Duration kNoPoolRetry = std::chrono::seconds(2);
+constexpr Duration kNoRoomRetry = std::chrono::seconds(1);
 
 std::string HeaderOf(const net::ServerStream& stream, std::string_view name) {
   return net::FindHeader(stream.head().headers, name).value_or("");
@@ -107,9 +108,12 @@
   request->deadline_timer = router.loop.After(
       request->machine.options.deadline - now,
       [&router, id] { Raise(router, id, outcome::DeadlinePassed{}); });
-  request->stream->on_closed = [&router, id] {
-    Raise(router, id, outcome::CallerGone{});
-  };
+  request->stream->on_closed =
+      [&router, id,
+       organisation = request->organisation](net::CloseReason reason) {
+        LogLeft(id, organisation, reason);
+        Raise(router, id, outcome::CallerGone{});
+      };
   File(router, *request, now);
 }
 
@@ -164,6 +168,19 @@
 
 // ReadBody collects the body, then admits the request.
 void ReadBody(Router& router, const std::shared_ptr<CallerRequest>& request) {
+  const Bytes length =
+      request->stream->head().content_length.value_or(Bytes(0));
+  request->body_room = TakeRoom(router.bodies, request->organisation, length);
+  if (request->body_room == nullptr) {
+    ReplyRefusal(router, *request->stream, request->id,
+                 ingress::NotRun(429, "too large request bodies are held",
+                                 kNoRoomRetry));
+    return;
+  }
+  request->body.reserve(static_cast<size_t>(length.value));
+  request->stream->on_closed = [request](net::CloseReason reason) {
+    LogLeft(request->id, request->organisation, reason);
+  };
   request->stream->on_body = [request](std::string_view piece) {
     request->body += piece;
   };
@@ -217,6 +234,14 @@
   ReadBody(router, request);
 }
 
+void LogLeft(const RequestId& id, const OrganisationId& organisation,
+             net::CloseReason reason) {
+  events::Log({.number = events::Number::kCallerLeft,
+               .request = id,
+               .organisation = organisation,
+               .reason = std::string(net::ToText(reason))});
+}
+
 void File(Router& router, CallerRequest& request, TimePoint now) {
   const contracts::Contract* const contract =
       FindContract(router, request.organisation);
--- a/samphirebank/router/internal/callers.h
+++ b/samphirebank/router/internal/callers.h
@@ -14,6 +14,10 @@
 // OnCaller takes a new request from the caller port.
 void OnCaller(Router& router, const std::shared_ptr<net::ServerStream>& stream);
 
+// LogLeft notes why a caller's connection ended before its answer was out.
+void LogLeft(const RequestId& id, const OrganisationId& organisation,
+             net::CloseReason reason);
+
 // Raise gives an event to a request's machine and performs its actions.
 void Raise(Router& router, const RequestId& id, outcome::Event event);
 
--- a/samphirebank/router/internal/state.h
+++ b/samphirebank/router/internal/state.h
@@ -2,7 +2,7 @@
 //
 // All that an entry router's process holds. The functions that work on it are
 // grouped by what they carry: peers.h, configuration.h, pools.h, callers.h,
-// attempts.h, admin.h, drain.h.
+// attempts.h, bodies.h, admin.h, drain.h.
 #ifndef SAMPHIREBANK_ROUTER_INTERNAL_STATE_H_
 #define SAMPHIREBANK_ROUTER_INTERNAL_STATE_H_
 
@@ -25,6 +25,7 @@
 #include "samphirebank/queue/queue.h"
 #include "samphirebank/relay/relay.h"
 #include "samphirebank/retry/retry.h"
+#include "samphirebank/router/internal/bodies.h"
 #include "samphirebank/router/internal/metrics.h"
 #include "samphirebank/scheduler/scheduler.h"
 #include "samphirebank/settings/settings.h"
@@ -45,6 +46,7 @@
   uint64_t prefix = 0;
   bool model_stream = false;
   std::string body;
+  BodyRoom body_room;
   TimePoint arrived;
 
   outcome::Request machine;
@@ -100,6 +102,7 @@
   std::map<PoolId, TimePoint> share_sent;
   targets::Registry targets;
 
+  std::shared_ptr<HeldBodies> bodies = std::make_shared<HeldBodies>();
   claims::Client claims;
   retry::Budgets budgets;
   std::unordered_map<RequestId, std::shared_ptr<CallerRequest>> requests;
--- a/samphirebank/router/router.cc
+++ b/samphirebank/router/router.cc
@@ -47,12 +47,16 @@
 
 void OpenServers(Router& router) {
   const std::string& address = router.settings.identity.address;
-  router.caller_port =
-      router.loop.Listen({.address = address,
-                          .port = router.settings.caller_port,
-                          .on_request = [&router](const auto& stream) {
-                            OnCaller(router, stream);
-                          }});
+  router.caller_port = router.loop.Listen(
+      {.address = address,
+       .port = router.settings.caller_port,
+       .on_slow_head =
+           [] {
+             LogLeft(RequestId(), OrganisationId(),
+                     net::CloseReason::kSlowHead);
+           },
+       .on_request =
+           [&router](const auto& stream) { OnCaller(router, stream); }});
   router.admin_port =
       router.loop.Listen({.address = address,
                           .port = router.settings.admin_port,
--- a/samphirebank/testing/processes.cc
+++ b/samphirebank/testing/processes.cc
@@ -11,6 +11,8 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -137,12 +139,30 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+int Process::descriptors() const {
+  const std::filesystem::directory_iterator files(
+      "/proc/" + std::to_string(this->id) + "/fd");
+  return static_cast<int>(std::distance(begin(files), end(files)));
+}
+
+int Process::resident_mib() const {
+  std::ifstream file("/proc/" + std::to_string(this->id) + "/statm");
+  int64_t all = 0;
+  int64_t resident = 0;
+  file >> all >> resident;
+  return static_cast<int>(resident * sysconf(_SC_PAGESIZE) >> 20);
+}
+
 int Begin(uint16_t port, const Call& call) {
   std::string text = call.method + " " + call.path +
                      " HTTP/1.1\r\nhost: x\r\nconnection: close\r\n";
   for (const std::string& header : call.headers) text += header + "\r\n";
   text += "content-length: " + std::to_string(call.body.size()) + "\r\n\r\n" +
           call.body;
+  return Connect(port, text);
+}
+
+int Connect(uint16_t port, const std::string& text) {
   const int connection = socket(AF_INET, SOCK_STREAM, 0);
   const timeval limit{.tv_sec = kGiveUp.count(), .tv_usec = 0};
   setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
@@ -174,8 +194,8 @@
 
 Reply Ask(uint16_t port, const Call& call) { return End(Begin(port, call)); }
 
-bool WaitUntil(const std::function<bool()>& condition) {
-  const auto give_up = std::chrono::steady_clock::now() + kGiveUp;
+bool WaitUntil(const std::function<bool()>& condition, seconds limit) {
+  const auto give_up = std::chrono::steady_clock::now() + limit;
   while (std::chrono::steady_clock::now() < give_up) {
     if (condition()) return true;
     std::this_thread::sleep_for(kTryAgain);
--- a/samphirebank/testing/processes.h
+++ b/samphirebank/testing/processes.h
@@ -13,6 +13,7 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -49,6 +50,10 @@
   // Wait returns the exit code, or -1 if a signal ended the program.
   int Wait();
   pid_t pid() const { return this->id; }
+  // descriptors counts the program's open files and sockets.
+  int descriptors() const;
+  // resident_mib is the memory that the program occupies.
+  int resident_mib() const;
 
  private:
   pid_t id = 0;
@@ -70,6 +75,9 @@
   bool whole = false;  // by content-length or the last chunk
 };
 
+// Connect opens a connection that sends `text` first.
+int Connect(uint16_t port, const std::string& text);
+
 // Begin sends a request and returns its connection; End reads the answer.
 int Begin(uint16_t port, const Call& call);
 Reply End(int connection);
@@ -77,8 +85,9 @@
 // Ask is Begin and End.
 Reply Ask(uint16_t port, const Call& call);
 
-// WaitUntil tries `condition` until it holds; false after 30 s.
-bool WaitUntil(const std::function<bool()>& condition);
+// WaitUntil tries `condition` until it holds; false when time is up.
+bool WaitUntil(const std::function<bool()>& condition,
+               std::chrono::seconds limit = std::chrono::seconds(30));
 
 }  // namespace samphirebank::testing
 
