--- a/samphirebank/control/faults_process_test.cc
+++ b/samphirebank/control/faults_process_test.cc
@@ -166,6 +166,10 @@
     std::this_thread::sleep_for(milliseconds(100));
   }
   CHECK(refused > 0);
+  const Reply metrics =
+      testing::Ask(group.Leader().operator_port, {.path = "/metrics"});
+  CHECK(metrics.body.find("samphirebank_control_disk_full 1\n") !=
+        std::string::npos);
   group.CheckContracts(1);
 
   for (const ControlInstance& one : group.instances) {
@@ -274,5 +278,25 @@
   group.CheckContracts(kChanges + 2);
 }
 
+TEST_CASE("the operator's command gets past a frozen leader") {
+  ControlGroup group(SAMPHIREBANK_BINARY);
+  ControlInstance& leader = group.Leader();
+  const std::string file = group.folder() + "/guides.json";
+  std::ofstream(file) << R"({"organisation":"guides"})";
+  std::vector<std::string> words = {
+      SAMPHIREBANK_BINARY, "contract",     "put",   file,
+      "--change-id=put-1", "--if-match=0", "--wait"};
+  std::vector<ControlInstance*> order = group.Others(leader);
+  order.insert(order.begin(), &leader);
+  for (const ControlInstance* one : order) {
+    words.push_back("--server=127.0.0.1:" + std::to_string(one->operator_port));
+  }
+  ControlGroup::Freeze(leader);
+  testing::Process command(words, ControlGroup::Environment());
+  CHECK(command.Wait() == 0);
+  ControlGroup::Thaw(leader);
+  group.CheckContracts(1);
+}
+
 }  // namespace
 }  // namespace samphirebank::control
--- a/samphirebank/router/pools.cc
+++ b/samphirebank/router/pools.cc
@@ -11,6 +11,7 @@
 #include "samphirebank/router/internal/configuration.h"
 #include "samphirebank/router/internal/drain.h"
 #include "samphirebank/router/internal/peers.h"
+#include "samphirebank/router/internal/quotas.h"
 
 namespace samphirebank::router {
 namespace {
@@ -46,8 +47,11 @@
   TimePoint& asked = router.pool_asked[pool];
   if (asked != TimePoint() && now - asked < kAskPoolInterval) return;
   asked = now;
-  SendMessage(router, ControlAddress(router),
-              assignment::PoolRequest{.pool = pool, .failed = failed});
+  SendMessage(
+      router, ControlAddress(router),
+      assignment::PoolRequest{.pool = pool,
+                              .failed = failed,
+                              .asker = router.settings.identity.instance});
 }
 
 void SendDemands(Router& router, TimePoint now) {
@@ -249,6 +253,7 @@
   AskForLostPools(router, now);
   SendTargetStates(router, now);
   SendDemands(router, now);
+  PumpQuotas(router, now);
   SendGrants(router, now);
   SendShares(router, now);
   // What the grants started or returned may be told at once.
