--- a/samphirebank/queue/exchange.cc
+++ b/samphirebank/queue/exchange.cc
@@ -11,6 +11,9 @@
 constexpr size_t kMaxSentTimes = 256;
 // kNoticeLife is how long a word on what waits elsewhere is believed.
 constexpr Duration kNoticeLife = std::chrono::seconds(3);
+// kNoTargetsLife is how long requests are refused before the next one is held
+// until the scheduler says again that no target serves it.
+constexpr Duration kNoTargetsLife = std::chrono::seconds(1);
 
 uint32_t Milliseconds(Duration span) {
   const auto count =
@@ -27,13 +30,22 @@
   return sent == pool.sent_at.end() || sent->second + after <= now;
 }
 
+// MustName says whether a demand has to name an organisation.
+bool MustName(const PoolQueue& pool, OrganisationQueue& organisation) {
+  if (pool.full_due) organisation.named = false;
+  if (!organisation.named && !pool.full_due) {
+    organisation.named = organisation.named_in != 0 &&
+                         pool.confirmed.Contains(organisation.named_in);
+  }
+  return !organisation.named;
+}
+
 sharing::OrganisationDemand Describe(const Options& options,
                                      const PoolQueue& pool,
                                      const OrganisationId& id,
                                      const OrganisationQueue& organisation,
                                      TimePoint now) {
   sharing::OrganisationDemand demand{
-      .organisation = id,
       .generation = organisation.generation,
       .waiting = static_cast<uint32_t>(organisation.waiting.size()),
       .running = organisation.running,
@@ -64,6 +76,10 @@
     }
     demand.organisations.push_back(
         Describe(state.options, pool, id, organisation, now));
+    if (MustName(pool, organisation)) {
+      demand.organisations.back().organisation = id;
+      organisation.named_in = demand.sequence;
+    }
     organisation.sent_in = demand.sequence;
     organisation.changed = false;
   }
@@ -77,10 +93,13 @@
   for (const TargetId& id : pool.unsettled_targets) {
     TargetRecord& target = pool.targets.at(id);
     if (!TellAgain(pool, target, state.options.resend_after, now)) continue;
-    demand.targets.push_back(sharing::TargetUse{.target = id,
-                                                .running = target.running,
-                                                .failed = target.failed,
-                                                .tokens = target.tokens});
+    const bool numbered = target.number != 0 && !demand.full;
+    demand.targets.push_back(
+        sharing::TargetUse{.target = numbered ? TargetId() : id,
+                           .number = target.number,
+                           .running = target.running,
+                           .failed = target.failed,
+                           .tokens = target.tokens});
     target.sent_in = demand.sequence;
     target.changed = false;
   }
@@ -94,6 +113,7 @@
     if (organisation.changed) return false;
     if (!pool.confirmed.Contains(organisation.sent_in)) return false;
     if (organisation.running == 0 && organisation.waiting.empty()) {
+      pool.generations.erase(organisation.generation);
       pool.organisations.erase(position);
     }
     return true;
@@ -119,48 +139,71 @@
   }
 }
 
+// FactsOf returns what is known of an item's target, and takes what the item
+// tells; null if that was never told here.
+const TargetFacts* FactsOf(PoolQueue& pool, const sharing::GrantItem& item,
+                           uint64_t sequence) {
+  if (item.target.value.empty()) {
+    const auto known = pool.numbered.find(item.number);
+    return known == pool.numbered.end() ? nullptr : &known->second;
+  }
+  TargetFacts& facts = pool.numbered[item.number];
+  if (sequence >= facts.told_in) {
+    facts = {.id = item.target,
+             .address = item.address,
+             .traits = item.traits,
+             .told_in = sequence};
+    pool.targets[item.target].number = item.number;
+  }
+  return &facts;
+}
+
 // DispatchOne moves the oldest request of an organisation to a target.
-Dispatch DispatchOne(State& state, PoolQueue& pool,
-                     OrganisationQueue& organisation,
-                     const sharing::GrantItem& item, TimePoint now) {
+Dispatch DispatchOne(State& state, PoolQueue& pool, const OrganisationId& id,
+                     OrganisationQueue& organisation, const TargetFacts& facts,
+                     TimePoint now) {
   const WaitingRequest taken = internal::TakeWaiting(
       state, pool, organisation, organisation.waiting.begin());
-  const int64_t cost = internal::PredictedCost(
-      state.options, pool, item.organisation, taken.request.estimate.value);
+  const int64_t cost = internal::PredictedCost(state.options, pool, id,
+                                               taken.request.estimate.value);
   organisation.running += 1;
   organisation.charged += cost;
   pool.running += 1;
-  TargetRecord& target = pool.targets[item.target];
+  TargetRecord& target = pool.targets[facts.id];
   target.running += 1;
   internal::CountDispatch(organisation, now);
-  internal::MarkTargetChanged(pool, item.target, target, now);
+  internal::MarkTargetChanged(pool, facts.id, target, now);
   state.running[taken.request.id] = RunningRequest{.request = taken.request,
-                                                   .target = item.target,
+                                                   .target = facts.id,
                                                    .since = taken.since,
                                                    .charged = cost};
   return Dispatch{.id = taken.request.id,
-                  .target = item.target,
-                  .address = item.address,
-                  .far = item.far,
-                  .traits = item.traits};
+                  .target = facts.id,
+                  .address = facts.address,
+                  .traits = facts.traits};
 }
 
 void ApplyItem(State& state, PoolQueue& pool, const sharing::GrantItem& item,
-               std::vector<Dispatch>& dispatches, TimePoint now) {
-  const auto known = pool.organisations.find(item.organisation);
-  if (known == pool.organisations.end()) {
+               uint64_t sequence, std::vector<Dispatch>& dispatches,
+               TimePoint now) {
+  const TargetFacts* const facts = FactsOf(pool, item, sequence);
+  const auto known = pool.generations.find(item.generation);
+  if (facts == nullptr || known == pool.generations.end()) {
     pool.news = true;  // so that the scheduler hears soon that it is unused
     return;
   }
-  OrganisationQueue& organisation = known->second;
+  const OrganisationId& id = known->second;
+  OrganisationQueue& organisation = pool.organisations.at(id);
   organisation.counter = item.counter;
   uint32_t unused = item.count;
   for (; unused > 0; --unused) {
     if (organisation.waiting.empty()) break;
     if (organisation.waiting.front().request.deadline <= now) break;
-    dispatches.push_back(DispatchOne(state, pool, organisation, item, now));
+    dispatches.push_back(
+        DispatchOne(state, pool, id, organisation, *facts, now));
+    dispatches.back().far = item.far;
   }
-  internal::MarkChanged(pool, item.organisation, organisation, unused > 0, now);
+  internal::MarkChanged(pool, id, organisation, unused > 0, now);
 }
 
 }  // namespace
@@ -230,6 +273,7 @@
   Confirm(pool, grant.demands);
   if (sent == pool.sent_at.end()) return dispatches;
   pool.backlogged = grant.backlogged;
+  pool.no_targets_until = grant.no_targets ? now + kNoTargetsLife : TimePoint();
   // Ends that were held back may free slots for what waits.
   if (pool.backlogged && pool.usage_since) pool.news = true;
   TakeNotices(pool, grant, now);
@@ -238,7 +282,7 @@
                             std::chrono::milliseconds(grant.expires_ms);
   if (expires <= now) return dispatches;
   for (const sharing::GrantItem& item : grant.items) {
-    ApplyItem(state, pool, item, dispatches, now);
+    ApplyItem(state, pool, item, grant.sequence, dispatches, now);
   }
   for (Dispatch& dispatch : dispatches) {
     dispatch.epoch = grant.epoch;
--- a/samphirebank/scheduler/records.cc
+++ b/samphirebank/scheduler/records.cc
@@ -2,7 +2,7 @@
 #include <cmath>
 #include <limits>
 
-#include "samphirebank/scheduler/internal/state.h"
+#include "samphirebank/scheduler/internal/loans.h"
 
 namespace samphirebank::scheduler::internal {
 namespace {
@@ -59,6 +59,12 @@
 
 }  // namespace
 
+bool WaitsFar(const Organisation& organisation, TimePoint now) {
+  return std::ranges::any_of(organisation.far, [now](const auto& item) {
+    return IsWaiting(item.second, now);
+  });
+}
+
 Organisation& OrganisationOf(Scheduler& scheduler, const OrganisationId& id) {
   auto [position, added] = scheduler.organisations.try_emplace(id);
   Organisation& organisation = position->second;
@@ -198,6 +204,7 @@
     PlaceTarget(scheduler, *target, now);
   }
   router.organisations.clear();
+  router.generations.clear();
   router.uses.clear();
   if (router.acknowledge_at) {
     scheduler.answers.erase({*router.acknowledge_at, router.number, &router});
@@ -208,12 +215,14 @@
 void SweepRecords(Scheduler& scheduler, TimePoint now) {
   // A record that ended is kept while its last demand may be sent again.
   constexpr Duration kKeepEnded = std::chrono::seconds(60);
-  for (auto& [id, router] : scheduler.routers) {
+  for (auto& item : scheduler.routers) {
+    Router& router = item.second;
     std::erase_if(router.organisations, [&](const auto& item) {
       const RouterOrganisation& source = item.second;
       const bool idle = source.waiting + source.running + source.reserved == 0;
       if (!idle || now - source.changed_at < kKeepEnded) return false;
       source.organisation->references -= 1;
+      router.generations.erase(source.generation);
       return true;
     });
   }
@@ -221,8 +230,8 @@
   std::erase_if(scheduler.organisations, [&](const auto& item) {
     const Organisation& organisation = item.second;
     return organisation.references == 0 && !organisation.ready &&
-           !organisation.active && !organisation.quota.until &&
-           organisation.counter <= scheduler.floor;
+           !WaitsFar(organisation, now) && !organisation.active &&
+           !organisation.quota.until && organisation.counter <= scheduler.floor;
   });
 }
 
