--- a/samphirebank/testing/processes.cc
+++ b/samphirebank/testing/processes.cc
@@ -179,12 +179,12 @@
   for (const std::string& header : call.headers) text += header + "\r\n";
   text += "content-length: " + std::to_string(call.body.size()) + "\r\n\r\n" +
           call.body;
-  return Connect(port, text);
+  return Connect(port, text, call.answer_seconds);
 }
 
-int Connect(uint16_t port, const std::string& text) {
+int Connect(uint16_t port, const std::string& text, int answer_seconds) {
   const int connection = socket(AF_INET, SOCK_STREAM, 0);
-  const timeval limit{.tv_sec = call.answer_seconds, .tv_usec = 0};
+  const timeval limit{.tv_sec = answer_seconds, .tv_usec = 0};
   setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
   const sockaddr_in to = Loopback(port);
   connect(connection, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
--- a/samphirebank/testing/processes.h
+++ b/samphirebank/testing/processes.h
@@ -77,8 +77,9 @@
   bool whole = false;  // by content-length or the last chunk
 };
 
-// Connect opens a connection that sends `text` first.
-int Connect(uint16_t port, const std::string& text);
+// Connect opens a connection that sends `text` first. End then waits for a
+// silence of at most `answer_seconds`.
+int Connect(uint16_t port, const std::string& text, int answer_seconds = 30);
 
 // Begin sends a request and returns its connection; End reads the answer.
 int Begin(uint16_t port, const Call& call);
