--- a/samphirebank/queue/queue.h
+++ b/samphirebank/queue/queue.h
@@ -76,6 +76,7 @@
   kRouterFull,    // this router holds as many requests as it can
   kHopeless,      // would not be dispatched within its deadline
   kDeadlinePast,  // waited until its deadline
+  kNoTargets,     // no region has a target for it
 };
 
 // Refusal tells a caller that its request did not run.
@@ -128,6 +129,8 @@
   TimePoint dispatch_rate_at{};  // when it was computed
   TimePoint backlogged_since{};  // when the queue became non-empty
   uint64_t sent_in = 0;          // newest demand that told its state
+  uint64_t named_in = 0;         // newest demand that told its name
+  bool named = false;            // the scheduler knows its name
   bool changed = true;           // since that demand
 };
 
@@ -136,10 +139,19 @@
   uint32_t running = 0;
   uint32_t failed = 0;
   uint64_t tokens = 0;
+  uint64_t number = 0;  // by the present scheduler; 0: not known
   uint64_t sent_in = 0;
   bool changed = true;
 };
 
+// TargetFacts is what a scheduler told of a target with its number.
+struct TargetFacts {
+  TargetId id{};
+  net::SocketAddress address{};
+  sharing::TargetTraits traits{};
+  uint64_t told_in = 0;  // the newest grant that told it
+};
+
 // CostSums gives an organisation's mean cost; old requests count less.
 struct CostSums {
   double spent = 0;  // tokens
@@ -156,11 +168,15 @@
   sharing::Receipts confirmed{};            // demands the scheduler received
   std::map<uint64_t, TimePoint> sent_at{};  // of recent demands
   std::map<OrganisationId, OrganisationQueue> organisations{};
+  std::unordered_map<uint32_t, OrganisationId> generations{};
   std::map<TargetId, TargetRecord> targets{};
+  std::unordered_map<uint64_t, TargetFacts> numbered{};  // by its number
   std::map<OrganisationId, CostSums> costs{};
   std::set<OrganisationId> unsettled{};    // changed or not confirmed
   std::set<TargetId> unsettled_targets{};  // changed or not confirmed
   TimePoint last_sent{};
+  // By the scheduler's word no target serves the pool, until then.
+  TimePoint no_targets_until{};
   bool news = false;                       // due at once
   std::optional<TimePoint> usage_since{};  // of the oldest unsent usage change
   uint64_t running = 0;                    // requests
@@ -204,6 +220,11 @@
 // Expire removes and returns the waiting requests whose deadline is past.
 std::vector<Refusal> Expire(State& state, TimePoint now);
 
+// RefuseUnserved removes and returns the waiting requests of a pool, if its
+// scheduler said that no target serves it.
+std::vector<Refusal> RefuseUnserved(State& state, const PoolId& pool,
+                                    TimePoint now);
+
 // NextDemandAt is when BuildDemand should be called for `pool`; nothing while
 // there is nothing to tell.
 std::optional<TimePoint> NextDemandAt(const State& state, const PoolId& pool);
--- a/samphirebank/scheduler/internal/state.h
+++ b/samphirebank/scheduler/internal/state.h
@@ -72,6 +72,27 @@
 // Source orders the routers that hold an organisation's requests by age.
 using Source = std::tuple<TimePoint, uint64_t, RouterOrganisation*>;
 
+// FarService is what another region told of an organisation.
+struct FarService {
+  uint32_t generation = 0;
+  int64_t charged = 0;  // tokens
+  bool waits = false;   // requests wait there
+  TimePoint heard_at{};
+};
+
+// Loan is what one other region may use of a target here.
+struct Loan {
+  uint32_t wanted = 0;  // slots to be lent, once they are free
+  uint32_t slots = 0;   // told; both hold until `until`
+  TimePoint until{};
+  // Told before, and more than now: counts until the other region confirms
+  // `past_share` or a later one, at most until `past_until`.
+  uint32_t past_slots = 0;
+  TimePoint past_until{};
+  uint64_t past_share = 0;
+  uint32_t used = 0;  // as the other region told
+};
+
 // Organisation is the fleet-wide record of one organisation in this pool.
 struct Organisation {
   OrganisationId id{};
@@ -93,19 +114,19 @@
   bool seeded = false;  // its counter is known
   std::optional<TimePoint> blocked_until{};  // in Scheduler::blocked
   QuotaRecord quota{};
-  // Shared with the other region's scheduler.
+  // Shared with the schedulers of other regions.
   uint32_t share_generation = 0;
   int64_t charged = 0;  // tokens, here
-  uint32_t far_generation = 0;
-  int64_t far_charged = 0;  // tokens, as the other region told
+  std::map<PoolId, FarService> far{};
 };
 
-// Target is one target of the pool, or a loaned one of the other region.
+// Target is one target of the pool, or one that another region lends.
 struct Target {
   TargetId id{};
   uint64_t number = 0;  // breaks ties
   net::SocketAddress address{};
   sharing::TargetTraits traits{};
+  uint32_t facts = 1;  // counts the changes of address and traits
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
   contracts::TargetIntent intent = contracts::TargetIntent::kServing;
@@ -113,11 +134,12 @@
   TimePoint heard_at{};
   bool known = false;  // it has reported
   bool far = false;
-  TimePoint loan_until{};
-  uint32_t loan = 0;  // slots lent to the other region, or by it
-  uint32_t loan_used = 0;
-  uint32_t running = 0;   // requests, as routers reported
-  uint32_t reserved = 0;  // granted, not confirmed
+  // Of a far one: slots that its region lends.
+  uint32_t borrowed = 0;
+  TimePoint borrowed_until{};
+  std::map<PoolId, Loan> loans{};  // of a near one
+  uint32_t running = 0;            // requests, as routers reported
+  uint32_t reserved = 0;           // granted, not confirmed
   capacity::State capacity{};
   // Speed as routers see it.
   uint64_t tokens = 0;      // since observed_at
@@ -148,6 +170,13 @@
   std::vector<Reservation> reservations{};
 };
 
+// ToldTarget is what a router was told of a target's address and traits.
+struct ToldTarget {
+  uint32_t facts = 0;  // Target::facts
+  uint64_t grant = 0;  // that told them
+  bool confirmed = false;
+};
+
 // Router is all that is known of one entry router.
 struct Router {
   InstanceId id{};
@@ -163,7 +192,11 @@
   uint64_t last_grant = 0;
   std::map<uint64_t, PendingGrant> pending{};
   std::unordered_map<Organisation*, RouterOrganisation> organisations{};
+  // By the numbers of the router's records, of which names are told once.
+  std::unordered_map<uint32_t, Organisation*> generations{};
   std::unordered_map<Target*, sharing::TargetUse> uses{};
+  std::unordered_map<const Target*, ToldTarget> told{};
+  sharing::Receipts grants{};  // received there, by its newest demand
   std::vector<sharing::GrantItem> items{};      // of the grant being made
   std::vector<Reservation> reservations{};      // of the grant being made
   std::vector<sharing::QueueNotice> notices{};  // of the grant being made
@@ -177,6 +210,10 @@
   uint64_t last_share = 0;  // sent
   std::map<uint64_t, TimePoint> sent_at{};
   bool wants_slots = false;
+  uint32_t capacity = 0;  // requests that its own targets can carry
+  bool has_targets = false;
+  double behind = 0;  // tokens that it is behind, smoothed
+  double trim = 0;    // slots lent above its part of what is left
 };
 
 // QuotaGroup is the exchange with one coordinator of limits.
@@ -201,6 +238,7 @@
   std::unordered_map<OrganisationId, Organisation> organisations{};
   std::map<InstanceId, Router> routers{};
   std::map<TargetId, Target> targets{};
+  std::unordered_map<uint64_t, Target*> numbered{};  // by Target::number
   std::map<PoolId, Neighbour> neighbours{};
   // Organisations that may be granted now, by counter.
   std::set<std::tuple<double, uint64_t, Organisation*>> ready{};
@@ -228,6 +266,7 @@
   uint64_t waiting = 0;
   uint64_t running = 0;
   uint64_t reserved = 0;
+  TimePoint targets_seen_at{};  // in any region
   TimePoint swept_at{};
   TimePoint records_swept_at{};
   TimePoint saturated_since{};
@@ -246,6 +285,10 @@
 // TargetOf returns the record of a target, made if missing.
 Target& TargetOf(Scheduler& scheduler, const TargetId& id, TimePoint now);
 
+// SetFacts takes a target's address and traits.
+void SetFacts(Target& target, const net::SocketAddress& address,
+              const sharing::TargetTraits& traits);
+
 // Charge moves an organisation's counter by `tokens`.
 void Charge(Scheduler& scheduler, Organisation& organisation, int64_t tokens);
 
@@ -331,6 +374,19 @@
 // against the rate limits.
 void TakeRate(Organisation& organisation, uint32_t requests, int64_t tokens);
 
+// LoansUsed is what other regions run on a target.
+uint32_t LoansUsed(const Target& target);
+
+// Stands says whether a target offers to serve, by its own and the operators'
+// word.
+bool Stands(const Scheduler& scheduler, const Target& target, TimePoint now);
+
+// Serves says whether a target may be granted requests now.
+bool Serves(const Scheduler& scheduler, const Target& target, TimePoint now);
+
+// WaitsFar says whether requests of an organisation wait in another region.
+bool WaitsFar(const Organisation& organisation, TimePoint now);
+
 // UpdateSpill decides whether other regions' targets are used.
 void UpdateSpill(Scheduler& scheduler, TimePoint now);
 
--- a/samphirebank/sharing/sharing.h
+++ b/samphirebank/sharing/sharing.h
@@ -61,6 +61,7 @@
 // OrganisationDemand is the state of one organisation's requests for one pool
 // at one router.
 struct OrganisationDemand {
+  // Empty once the scheduler confirmed a demand that named this generation.
   OrganisationId organisation{};
   // Numbers the router's record; `charged` counts from 0 in each generation.
   uint32_t generation = 0;
@@ -84,14 +85,15 @@
     internal::Number(archive, oldest_age_ms);
     internal::Rare(archive, prefix);
     internal::Signed(archive, charged);
-    internal::Rare(archive, counter);
+    internal::Rounded(archive, counter);
   }
 };
 
 // TargetUse is what one router runs on one target; the totals are cumulative
 // since the router's process started.
 struct TargetUse {
-  TargetId target{};
+  TargetId target{};     // empty if the scheduler's number of it is told
+  uint64_t number = 0;   // of the target; 0: not known
   uint32_t running = 0;  // requests
   uint32_t failed = 0;   // requests, total
   uint64_t tokens = 0;   // seen from the target, total
@@ -99,6 +101,7 @@
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
     internal::Text(archive, target.value);
+    internal::Number(archive, number);
     internal::Number(archive, running);
     internal::Number(archive, failed);
     internal::Number(archive, tokens);
@@ -153,24 +156,31 @@
   }
 };
 
-// GrantItem lets a router dispatch `count` requests of one organisation.
+// GrantItem lets a router dispatch `count` requests of one organisation. The
+// target's name, address and traits are left out once the router confirmed a
+// grant that told them with its number; `target` is empty then.
 struct GrantItem {
-  OrganisationId organisation{};
+  uint32_t generation = 0;  // of the organisation's record at the router
+  uint64_t number = 0;      // of the target, given by the scheduler
   TargetId target{};
   net::SocketAddress address{};
+  TargetTraits traits{};
   uint32_t count = 0;
   bool far = false;    // the target is in another region
   double counter = 0;  // the organisation's, after this grant
-  TargetTraits traits{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    internal::Text(archive, organisation.value);
+    internal::Number(archive, generation);
+    internal::Number(archive, number);
     internal::Text(archive, target.value);
-    internal::Address(archive, address);
+    if (!target.value.empty()) {
+      internal::Address(archive, address);
+      archive(traits);
+    }
     internal::Number(archive, count);
-    archive(far, traits);
-    internal::Rare(archive, counter);
+    archive(far);
+    internal::Rounded(archive, counter);
   }
 };
 
@@ -200,6 +210,7 @@
   uint32_t expires_ms = 0;
   bool full_wanted = false;  // the next demand must be full
   bool backlogged = false;   // requests wait: report ends at once
+  bool no_targets = false;   // in any region: refuse what waits
   std::vector<GrantItem> items{};
   std::vector<QueueNotice> notices{};
 
@@ -211,8 +222,13 @@
     archive(demands);
     internal::Number(archive, held_ms);
     internal::Number(archive, expires_ms);
-    archive(full_wanted);
-    archive(backlogged);
+    auto bits =
+        static_cast<uint8_t>((full_wanted ? 1U : 0U) | (backlogged ? 2U : 0U) |
+                             (no_targets ? 4U : 0U));
+    archive(bits);
+    full_wanted = (bits & 1U) != 0;
+    backlogged = (bits & 2U) != 0;
+    no_targets = (bits & 4U) != 0;
     internal::List(archive, items);
     internal::List(archive, notices);
   }
@@ -254,12 +270,16 @@
   OrganisationId organisation{};
   uint32_t generation = 0;  // numbers the sender's record
   int64_t charged = 0;      // tokens since that record began
+  uint64_t ahead = 0;       // tokens of what runs, charged in advance
+  bool waits = false;       // requests wait in the sender's region
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
     internal::Text(archive, organisation.value);
     internal::Number(archive, generation);
     internal::Signed(archive, charged);
+    internal::Number(archive, ahead);
+    archive(waits);
   }
 };
 
@@ -302,6 +322,8 @@
   uint32_t held_ms = 0;      // since that share arrived
   uint32_t expires_ms = 0;   // of the loans, as in Grant
   bool wants_slots = false;  // saturated: asks for loans
+  bool has_targets = false;  // that may be granted requests
+  uint32_t capacity = 0;     // requests that the sender's targets can carry
   std::vector<OrganisationShare> organisations{};
   std::vector<SlotLoan> loans{};
   std::vector<LoanUse> uses{};  // of the receiver's loans
@@ -314,7 +336,8 @@
     internal::Number(archive, answers);
     internal::Number(archive, held_ms);
     internal::Number(archive, expires_ms);
-    archive(wants_slots);
+    archive(wants_slots, has_targets);
+    internal::Number(archive, capacity);
     internal::List(archive, organisations);
     internal::List(archive, loans);
     internal::List(archive, uses);
