--- a/samphirebank/queue/queue.cc
+++ b/samphirebank/queue/queue.cc
@@ -62,8 +62,9 @@
                                  const OrganisationQueue& organisation,
                                  const Limits& limits, TimePoint now) {
   if (request.deadline <= now) return RefusalKind::kDeadlinePast;
-  if (QueueFull(state, request, organisation, limits, now))
+  if (QueueFull(state, request, organisation, limits, now)) {
     return RefusalKind::kQueueFull;
+  }
   if (state.waiting.size() >= state.options.max_waiting) {
     return RefusalKind::kRouterFull;
   }
