--- a/samphirebank/quota/quota_test.cc
+++ b/samphirebank/quota/quota_test.cc
@@ -100,7 +100,8 @@
   const contracts::Configuration configuration = Fleet(2);
   Coordinator coordinator = Create({}, {.pool = PoolOf(0)}, kStart);
   TimePoint now = kStart + seconds(5);
-  const auto ask = [&](size_t pool, uint64_t sequence, sharing::QuotaUse use) {
+  const auto ask = [&](size_t pool, uint64_t sequence,
+                       const sharing::QuotaUse& use) {
     return OnAsk(coordinator, AskOf(coordinator, pool, sequence, use),
                  configuration, now)
         ->items[0]
--- a/samphirebank/router/quotas.cc
+++ b/samphirebank/router/quotas.cc
@@ -38,7 +38,8 @@
 // assignment was made to an earlier run of this instance has no scheduler here
 // and gets a new epoch soon.
 void RefreshDuties(Router& router, TimePoint now) {
-  router.quotas.options.configuration_lease = router.settings.lease;
+  router.quotas.options.configuration_lease =
+      lease::InForceAfter(router.holder.options.terms);
   quota::Refresh(router.quotas, router.settings.identity.instance,
                  router.holder.history.configuration, now);
 }
