--- a/samphirebank/regions_test/regions_fleet.cc
+++ b/samphirebank/regions_test/regions_fleet.cc
@@ -184,8 +184,9 @@
                          const std::string& intent) const {
   return this
       ->Operate({.method = "PUT",
-                 .path = "/operator/v1/targets/" + target + "?wait=true",
-                 .headers = {kOperator, "change-id: " + intent + target},
+                 .path = "/operator/v1/targets/" + target + "?wait=in-force",
+                 .headers = {kOperator, "change-id: " + intent + target,
+                             "content-type: application/json"},
                  .body = R"({"intent":")" + intent + "\"}"})
       .status;
 }
