--- a/samphirebank/queue/queue.cc
+++ b/samphirebank/queue/queue.cc
@@ -64,8 +64,9 @@
                                  const Limits& limits, TimePoint now) {
   if (request.deadline <= now) return RefusalKind::kDeadlinePast;
   if (now < pool.no_targets_until) return RefusalKind::kNoTargets;
-  if (QueueFull(state, request, organisation, limits, now))
+  if (QueueFull(state, request, organisation, limits, now)) {
     return RefusalKind::kQueueFull;
+  }
   if (state.waiting.size() >= state.options.max_waiting) {
     return RefusalKind::kRouterFull;
   }
