--- a/samphirebank/testing/processes.h
+++ b/samphirebank/testing/processes.h
@@ -77,7 +77,8 @@
   bool whole = false;  // by content-length or the last chunk
 };
 
-// Connect opens a connection that sends `text` first.
+// Connect opens a connection that sends `text` first. End then waits for a
+// silence of at most `answer_seconds`.
 int Connect(uint16_t port, const std::string& text, int answer_seconds = 30);
 
 // Begin sends a request and returns its connection; End reads the answer.
