--- a/samphirebank/control/faults_process_test.cc
+++ b/samphirebank/control/faults_process_test.cc
@@ -201,6 +201,7 @@
   // Without control it cannot learn of the withdrawal either.
   for (ControlInstance* one : All(group)) ControlGroup::Freeze(*one);
   std::vector<int> calls;  // accepted by the kernel; read first after SIGCONT
+  calls.reserve(16);
   for (int i = 0; i < 8; ++i) calls.push_back(router.Begin());
   router.process->Signal(SIGCONT);
   for (int i = 0; i < 8; ++i) calls.push_back(router.Begin());
