--- a/samphirebank/operators/operators.cc
+++ b/samphirebank/operators/operators.cc
@@ -88,7 +88,7 @@
 ApiReply Change(const OperatorSettings& settings, const std::string& contract) {
   OperatorSettings first = settings;
   first.wait_in_force = false;
-  const ApiReply accepted = Exchange(first, RequestOf(first, contract));
+  ApiReply accepted = Exchange(first, RequestOf(first, contract));
   const std::optional<Duration> left = WaitFor(accepted);
   if (!settings.wait_in_force || !left) return accepted;
   std::this_thread::sleep_for(*left);
