--- a/samphirebank/router/internal/state.h
+++ b/samphirebank/router/internal/state.h
@@ -2,7 +2,7 @@
 //
 // All that an entry router's process holds. The functions that work on it are
 // grouped by what they carry: peers.h, configuration.h, pools.h, callers.h,
-// attempts.h, admin.h, drain.h.
+// attempts.h, bodies.h, admin.h, drain.h.
 #ifndef SAMPHIREBANK_ROUTER_INTERNAL_STATE_H_
 #define SAMPHIREBANK_ROUTER_INTERNAL_STATE_H_
 
@@ -26,6 +26,7 @@
 #include "samphirebank/quota/quota.h"
 #include "samphirebank/relay/relay.h"
 #include "samphirebank/retry/retry.h"
+#include "samphirebank/router/internal/bodies.h"
 #include "samphirebank/router/internal/metrics.h"
 #include "samphirebank/router/internal/work.h"
 #include "samphirebank/scheduler/scheduler.h"
@@ -47,6 +48,7 @@
   uint64_t prefix = 0;
   bool model_stream = false;
   std::string body;
+  BodyRoom body_room;
   TimePoint arrived;
 
   outcome::Request machine;
@@ -103,6 +105,7 @@
   quota::Duties quotas;  // coordinators of limits that run here
   targets::Registry targets;
 
+  std::shared_ptr<HeldBodies> bodies = std::make_shared<HeldBodies>();
   claims::Client claims;
   retry::Budgets budgets;
   std::unordered_map<RequestId, std::shared_ptr<CallerRequest>> requests;
--- a/samphirebank/router/router.cc
+++ b/samphirebank/router/router.cc
@@ -42,17 +42,23 @@
                                std::string_view bytes) {
          OnPacket(router, from, bytes);
        }});
-  router.peer_address = {.ip = identity.address, .port = router.peers->port()};
+  const net::SocketAddress bound{.ip = identity.address,
+                                 .port = router.peers->port()};
+  router.peer_address = router.settings.peer_address.value_or(bound);
 }
 
 void OpenServers(Router& router) {
   const std::string& address = router.settings.identity.address;
-  router.caller_port =
-      router.loop.Listen({.address = address,
-                          .port = router.settings.caller_port,
-                          .on_request = [&router](const auto& stream) {
-                            OnCaller(router, stream);
-                          }});
+  router.caller_port = router.loop.Listen(
+      {.address = address,
+       .port = router.settings.caller_port,
+       .on_slow_head =
+           [] {
+             LogLeft(RequestId(), OrganisationId(),
+                     net::CloseReason::kSlowHead);
+           },
+       .on_request =
+           [&router](const auto& stream) { OnCaller(router, stream); }});
   router.admin_port =
       router.loop.Listen({.address = address,
                           .port = router.settings.admin_port,
