--- a/samphirebank/queue/queue.h
+++ b/samphirebank/queue/queue.h
@@ -129,6 +129,8 @@
   TimePoint dispatch_rate_at{};  // when it was computed
   TimePoint backlogged_since{};  // when the queue became non-empty
   uint64_t sent_in = 0;          // newest demand that told its state
+  uint64_t named_in = 0;         // newest demand that told its name
+  bool named = false;            // the scheduler knows its name
   bool changed = true;           // since that demand
 };
 
@@ -137,10 +139,19 @@
   uint32_t running = 0;
   uint32_t failed = 0;
   uint64_t tokens = 0;
+  uint64_t number = 0;  // by the present scheduler; 0: not known
   uint64_t sent_in = 0;
   bool changed = true;
 };
 
+// TargetFacts is what a scheduler told of a target with its number.
+struct TargetFacts {
+  TargetId id{};
+  net::SocketAddress address{};
+  sharing::TargetTraits traits{};
+  uint64_t told_in = 0;  // the newest grant that told it
+};
+
 // CostSums gives an organisation's mean cost; old requests count less.
 struct CostSums {
   double spent = 0;  // tokens
@@ -157,7 +168,9 @@
   sharing::Receipts confirmed{};            // demands the scheduler received
   std::map<uint64_t, TimePoint> sent_at{};  // of recent demands
   std::map<OrganisationId, OrganisationQueue> organisations{};
+  std::unordered_map<uint32_t, OrganisationId> generations{};
   std::map<TargetId, TargetRecord> targets{};
+  std::unordered_map<uint64_t, TargetFacts> numbered{};  // by its number
   std::map<OrganisationId, CostSums> costs{};
   std::set<OrganisationId> unsettled{};    // changed or not confirmed
   std::set<TargetId> unsettled_targets{};  // changed or not confirmed
--- a/samphirebank/router/attempts.cc
+++ b/samphirebank/router/attempts.cc
@@ -18,7 +18,7 @@
 constexpr Duration kConnectLimit = std::chrono::seconds(2);
 // Output that a slow caller has not taken; above it the target's stream is
 // held back.
-constexpr Bytes kCallerBacklog = Bytes(256 << 10);
+constexpr Bytes kCallerBacklog = Bytes(64 << 10);
 
 RequestId AttemptId(const RequestId& request, uint32_t attempt) {
   return RequestId(request.value + "." + std::to_string(attempt));
--- a/samphirebank/router/router.cc
+++ b/samphirebank/router/router.cc
@@ -49,12 +49,16 @@
 
 void OpenServers(Router& router) {
   const std::string& address = router.settings.identity.address;
-  router.caller_port =
-      router.loop.Listen({.address = address,
-                          .port = router.settings.caller_port,
-                          .on_request = [&router](const auto& stream) {
-                            OnCaller(router, stream);
-                          }});
+  router.caller_port = router.loop.Listen(
+      {.address = address,
+       .port = router.settings.caller_port,
+       .on_slow_head =
+           [] {
+             LogLeft(RequestId(), OrganisationId(),
+                     net::CloseReason::kSlowHead);
+           },
+       .on_request =
+           [&router](const auto& stream) { OnCaller(router, stream); }});
   router.admin_port =
       router.loop.Listen({.address = address,
                           .port = router.settings.admin_port,
@@ -95,6 +99,10 @@
   Router router;
   router.settings = settings;
   router.boot = RandomBoot();
+  // Grants name records by number: those of an earlier run must fit none.
+  constexpr uint64_t kFirstGenerations = 1 << 20;
+  router.queues.last_generation =
+      static_cast<uint32_t>(router.boot.value % kFirstGenerations);
   try {
     Serve(router);
   } catch (const std::exception& error) {
--- a/samphirebank/scheduler/share.cc
+++ b/samphirebank/scheduler/share.cc
@@ -138,8 +138,7 @@
     if (target.known && !target.far) continue;
     target.known = true;
     target.far = true;
-    target.address = loan.address;
-    target.traits = loan.traits;
+    internal::SetFacts(target, loan.address, loan.traits);
     target.borrowed = loan.slots;
     target.borrowed_until = expires;
     target.heard_at = now;
