--- a/samphirebank/control/internal/server.h
+++ b/samphirebank/control/internal/server.h
@@ -86,9 +86,10 @@
   wire::Sealer sealer;
   wire::Opener opener;
   ReplicatedState state;
-  lease::Holder holder;  // its history follows state.contracts
+  lease::Holder holder;  // of the history it has only the revision
   InForceClock in_force;
   lease::Registry registry;
+  lease::PieceLimit pieces;
   assignment::Wanted wanted;
   std::unique_ptr<net::PeerSocket> peers;
   std::unique_ptr<Replication> replication;
