--- a/samphirebank/wire/seal.cc
+++ b/samphirebank/wire/seal.cc
@@ -76,15 +76,14 @@
 }
 
 leaf::result<Plain> ReadPlain(const std::string& bytes) {
-  std::istringstream in(bytes);
   Plain plain;
   try {
-    cereal::PortableBinaryInputArchive archive(in);
+    internal::InputArchive archive(bytes);
     archive(plain.head);
+    plain.payload = bytes.substr(bytes.size() - archive.left());
   } catch (const std::exception&) {
     return leaf::new_error(Error{ErrorKind::kMalformed});
   }
-  plain.payload = bytes.substr(static_cast<size_t>(in.tellg()));
   return plain;
 }
 
--- a/samphirebank/wire/wire.h
+++ b/samphirebank/wire/wire.h
@@ -39,6 +39,7 @@
 #include <string_view>
 
 #include "samphirebank/base/base.h"
+#include "samphirebank/wire/internal/input_archive.h"
 
 namespace samphirebank::wire {
 
@@ -97,15 +98,15 @@
 }
 
 // DecodeFields reads what EncodeFields wrote; kMalformed when it does not fit
-// or when bytes are left over.
+// or when bytes are left over. A stated length beyond the bytes takes no
+// memory.
 template <typename T>
 leaf::result<T> DecodeFields(std::string_view bytes) {
-  std::istringstream in{std::string(bytes)};
   try {
     T value;
-    cereal::PortableBinaryInputArchive archive(in);
+    internal::InputArchive archive(bytes);
     archive(value);
-    if (in.peek() != std::istringstream::traits_type::eof()) {
+    if (archive.left() != 0) {
       return leaf::new_error(Error{ErrorKind::kMalformed});
     }
     return value;
--- a/samphirebank/wire/wire_test.cc
+++ b/samphirebank/wire/wire_test.cc
@@ -90,5 +90,14 @@
   CHECK(!ParseFleetKey(std::string(63, 'a') + "g").has_value());
 }
 
+TEST_CASE("fields that state too much are refused before memory is taken") {
+  const std::string flag = EncodeFields(uint8_t{2});
+  CHECK(!DecodeFields<bool>(flag));
+  const std::string length = EncodeFields(uint64_t{1} << 40);
+  CHECK(!DecodeFields<std::string>(length));
+  CHECK(!DecodeFields<std::vector<uint64_t>>(length));
+  CHECK(!DecodeFields<std::map<uint64_t, bool>>(length));
+}
+
 }  // namespace
 }  // namespace samphirebank::wire
