--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -58,16 +58,19 @@
                                      BootId boot, uint16_t peer_port,
                                      uint16_t operator_port) {
   const settings::Identity& identity = settings.identity;
-  lease::HolderOptions options{
-      .self = {.instance = identity.instance,
-               .boot = boot,
-               .region = identity.region,
-               .zone = identity.zone,
-               .address = {identity.address, peer_port},
-               .role = lease::Role::kControl,
-               .operator_port = operator_port},
-      .poll_interval = kFollowerPollInterval,
-      .seed = boot.value};
+  net::SocketAddress address{identity.address, peer_port};
+  for (const settings::ControlMember& member : settings.members) {
+    if (member.instance == identity.instance) address = member.peer_address;
+  }
+  lease::HolderOptions options{.self = {.instance = identity.instance,
+                                        .boot = boot,
+                                        .region = identity.region,
+                                        .zone = identity.zone,
+                                        .address = address,
+                                        .role = lease::Role::kControl,
+                                        .operator_port = operator_port},
+                               .poll_interval = kFollowerPollInterval,
+                               .seed = boot.value};
   return options;
 }
 
@@ -137,11 +140,10 @@
 Applied Server::ApplyOne(const std::string& entry) {
   Applied applied = ApplyEntry(this->state, entry);
   const contracts::History& history = this->state.contracts.history;
-  if (this->holder.history.configuration.revision <
-      history.configuration.revision) {
-    contracts::ApplyChange(this->holder.history, history.changes.back());
-    NoteApplied(this->in_force, history.configuration.revision,
-                net::Loop::Now());
+  Revision& known = this->holder.history.configuration.revision;
+  if (known < history.configuration.revision) {
+    known = history.configuration.revision;
+    NoteApplied(this->in_force, known, net::Loop::Now());
   }
   return applied;
 }
@@ -150,9 +152,10 @@
   if (!DecodeState(bytes, this->state)) {
     return this->Fail("the snapshot cannot be read");
   }
-  this->holder.history = this->state.contracts.history;
-  NoteRestored(this->in_force, this->holder.history.configuration.revision,
-               net::Loop::Now());
+  const Revision revision =
+      this->state.contracts.history.configuration.revision;
+  this->holder.history.configuration.revision = revision;
+  NoteRestored(this->in_force, revision, net::Loop::Now());
 }
 
 void Server::OnLeadership() {
@@ -189,7 +192,7 @@
 
 void Server::OnPacket(const net::SocketAddress& /*from*/,
                       std::string_view message) {
-  this->traffic.bytes_received += message.size();
+  this->metrics.packet_bytes_received.Add(message.size());
   wire::leaf::try_handle_all(
       [&]() -> wire::leaf::result<void> {
         BOOST_LEAF_AUTO(opened, this->opener.Open(message));
@@ -206,7 +209,7 @@
             this->OnConfigUpdate(opened.packet);
             break;
           case wire::Kind::kPoolRequest:
-            this->OnPoolRequest(opened.packet);
+            this->OnPoolRequest(opened);
             break;
           case wire::Kind::kClaimRequest:
             this->OnClaimRequest(opened);
@@ -220,12 +223,13 @@
 }
 
 void Server::OnConfigPoll(const wire::Packet& packet) {
-  const auto poll = Decoded<lease::ConfigPoll>(packet);
+  auto poll = Decoded<lease::ConfigPoll>(packet);
   if (!poll) return;
   const TimePoint now = net::Loop::Now();
   lease::Hear(this->registry, *poll, now);
+  lease::Pace(this->pieces, this->state.contracts.history, *poll, now);
   lease::ConfigUpdate update =
-      lease::Answer(this->holder.history, this->holder.usable,
+      lease::Answer(this->state.contracts.history, this->holder.usable,
                     this->holder.options.terms, *poll, now);
   update.region = this->settings.identity.region;
   update.zone = this->settings.identity.zone;
@@ -251,12 +255,17 @@
   lease::OnUpdate(this->holder, proof_only, net::Loop::Now());
 }
 
-void Server::OnPoolRequest(const wire::Packet& packet) {
-  if (!this->replication->leads()) return this->ForwardToLeader(packet);
-  const auto request = Decoded<assignment::PoolRequest>(packet);
+void Server::OnPoolRequest(const wire::Opened& opened) {
+  const auto request = Decoded<assignment::PoolRequest>(opened.packet);
   if (!request) return;
-  Epoch& failed = this->wanted[request->pool];
-  failed = std::max(failed, request->failed);
+  const bool is_asker = request->asker == opened.from;
+  if (!is_asker && !this->IsMember(opened.from)) return;
+  if (!this->replication->leads()) {
+    if (is_asker) this->ForwardToLeader(opened.packet);
+    return;
+  }
+  assignment::NoteRequest(
+      this->wanted, this->state.contracts.history.configuration, *request);
 }
 
 void Server::OnClaimRequest(const wire::Opened& opened) {
@@ -294,8 +303,8 @@
   packet.clock_ms = stamp.wall_ms;
   packet.clock_logical = stamp.logical;
   const std::string bytes = this->sealer.Seal(packet);
-  this->traffic.packets_sent += 1;
-  this->traffic.bytes_sent += bytes.size();
+  this->metrics.packets_sent.Add(1);
+  this->metrics.packet_bytes_sent.Add(bytes.size());
   this->peers->Send(to, bytes);
 }
 
--- a/samphirebank/fuzz/messages_fuzz.cc
+++ b/samphirebank/fuzz/messages_fuzz.cc
@@ -30,7 +30,7 @@
 }
 
 void TryOne(uint8_t choice, std::string_view bytes) {
-  switch (choice % 11) {
+  switch (choice % 13) {
     case 0:
       return TryPacket(bytes);
     case 1:
@@ -51,6 +51,10 @@
       return TryMessage<claims::ClaimReply>(bytes);
     case 9:
       return TryMessage<assignment::PoolRequest>(bytes);
+    case 10:
+      return TryMessage<sharing::QuotaAsk>(bytes);
+    case 11:
+      return TryMessage<sharing::QuotaGrant>(bytes);
     default:
       return TryMessage<consensus::Message>(bytes);
   }
--- a/samphirebank/queue/queue_test.cc
+++ b/samphirebank/queue/queue_test.cc
@@ -40,7 +40,7 @@
                        .expires_ms = 800};
   grant.demands.newest = pool.last_sequence;
   if (count > 0) {
-    grant.items.push_back({.organisation = kOrganisation,
+    grant.items.push_back({.generation = state.last_generation,
                            .target = kTarget,
                            .count = count,
                            .counter = 7});
@@ -48,6 +48,22 @@
   return grant;
 }
 
+TEST_CASE("what waits is refused while no target serves the pool") {
+  State state = Started();
+  CHECK(!Enqueue(state, Make("a"), {}, kStart));
+  BuildDemand(state, kPool, kStart);
+  auto grant = Answer(state, 1, 0);
+  grant.no_targets = true;
+  ApplyGrant(state, grant, kStart);
+  const auto refused = RefuseUnserved(state, kPool, kStart);
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].kind == RefusalKind::kNoTargets);
+  CHECK(Enqueue(state, Make("b"), {}, kStart)->kind == RefusalKind::kNoTargets);
+  // The next one is held, to hear whether targets came.
+  CHECK(!Enqueue(state, Make("c"), {}, kStart + seconds(1)));
+  CHECK(RefuseUnserved(state, kPool, kStart + seconds(1)).empty());
+}
+
 TEST_CASE("a grant dispatches the oldest requests, until it expires") {
   State state = Started();
   for (const char* id : {"a", "b", "c"}) {
@@ -114,6 +130,48 @@
   CHECK(full.organisations.size() == 1);
 }
 
+TEST_CASE("a demand names an organisation until that is confirmed") {
+  State state = Started();
+  const auto name = [&](const char* id) {
+    Enqueue(state, Make(id), {}, kStart);
+    return BuildDemand(state, kPool, kStart).organisations.at(0).organisation;
+  };
+  CHECK(name("a") == kOrganisation);
+  CHECK(name("b") == kOrganisation);  // the first one may be lost
+  ApplyGrant(state, Answer(state, 1, 0), kStart);
+  CHECK(name("c").value.empty());
+  OnEpoch(state, kPool, Epoch(4), kStart);
+  CHECK(name("d") == kOrganisation);
+  CHECK(name("e") == kOrganisation);
+}
+
+TEST_CASE("a target is known by its number once it was told") {
+  State state = Started();
+  for (const char* id : {"a", "b", "c", "d"})
+    Enqueue(state, Make(id), {}, kStart);
+  BuildDemand(state, kPool, kStart);
+  const auto apply = [&](uint64_t sequence, const std::string& name,
+                         uint16_t port) {
+    auto grant = Answer(state, sequence, 1);
+    grant.items[0].number = 9;
+    grant.items[0].target = TargetId(name);
+    grant.items[0].address.port = port;
+    return ApplyGrant(state, grant, kStart);
+  };
+  CHECK(apply(1, "", 0).empty());
+  CHECK(apply(3, "t1", 80).at(0).address.port == 80);
+  CHECK(apply(2, "t1", 70).at(0).address.port == 80);  // overtaken
+  CHECK(apply(4, "", 0).at(0).target == kTarget);
+  const sharing::Demand demand = BuildDemand(state, kPool, kStart);
+  CHECK(demand.targets.at(0).target.value.empty());
+  CHECK(demand.targets.at(0).number == 9);
+  // The next scheduler numbers anew.
+  OnEpoch(state, kPool, Epoch(4), kStart);
+  CHECK(BuildDemand(state, kPool, kStart).targets.at(0).target == kTarget);
+  Enqueue(state, Make("e"), {}, kStart);
+  CHECK(apply(1, "", 0).empty());
+}
+
 TEST_CASE("what ended and is confirmed takes no memory") {
   State state = Started();
   Enqueue(state, Make("a"), {}, kStart);
@@ -192,5 +250,19 @@
   CHECK(again[0].id == RequestId("a"));
 }
 
+TEST_CASE("a queue's length holds over all pools of this router") {
+  State state = Started();
+  Request other = Make("other");
+  other.pool.service = ServiceId("another");
+  const Limits limits{.queue_length = 2};
+  CHECK(!Enqueue(state, Make("a"), limits, kStart));
+  CHECK(!Enqueue(state, other, limits, kStart));
+  const auto refusal = Enqueue(state, Make("b"), limits, kStart);
+  REQUIRE(refusal);
+  CHECK(refusal->kind == RefusalKind::kQueueFull);
+  Remove(state, RequestId("other"), kStart);
+  CHECK(!Enqueue(state, Make("b"), limits, kStart));
+}
+
 }  // namespace
 }  // namespace samphirebank::queue
--- a/samphirebank/router/internal/state.h
+++ b/samphirebank/router/internal/state.h
@@ -23,10 +23,12 @@
 #include "samphirebank/net/net.h"
 #include "samphirebank/outcome/outcome.h"
 #include "samphirebank/queue/queue.h"
+#include "samphirebank/quota/quota.h"
 #include "samphirebank/relay/relay.h"
 #include "samphirebank/retry/retry.h"
 #include "samphirebank/router/internal/bodies.h"
 #include "samphirebank/router/internal/metrics.h"
+#include "samphirebank/router/internal/work.h"
 #include "samphirebank/scheduler/scheduler.h"
 #include "samphirebank/settings/settings.h"
 #include "samphirebank/sharing/sharing.h"
@@ -100,6 +102,7 @@
   // here: when each was last heard and told.
   std::map<PoolId, TimePoint> share_heard;
   std::map<PoolId, TimePoint> share_sent;
+  quota::Duties quotas;  // coordinators of limits that run here
   targets::Registry targets;
 
   std::shared_ptr<HeldBodies> bodies = std::make_shared<HeldBodies>();
@@ -116,6 +119,7 @@
   TimePoint drain_since;
   int exit_code = 0;
   Metrics metrics;
+  WorkAccount work{.control_cpu = this->metrics.control_cpu};
   uint16_t caller_port = 0;
   uint16_t admin_port = 0;
 };
--- a/samphirebank/router/pools.cc
+++ b/samphirebank/router/pools.cc
@@ -11,6 +11,7 @@
 #include "samphirebank/router/internal/configuration.h"
 #include "samphirebank/router/internal/drain.h"
 #include "samphirebank/router/internal/peers.h"
+#include "samphirebank/router/internal/quotas.h"
 
 namespace samphirebank::router {
 namespace {
@@ -46,8 +47,11 @@
   TimePoint& asked = router.pool_asked[pool];
   if (asked != TimePoint() && now - asked < kAskPoolInterval) return;
   asked = now;
-  SendMessage(router, ControlAddress(router),
-              assignment::PoolRequest{.pool = pool, .failed = failed});
+  SendMessage(
+      router, ControlAddress(router),
+      assignment::PoolRequest{.pool = pool,
+                              .failed = failed,
+                              .asker = router.settings.identity.instance});
 }
 
 void SendDemands(Router& router, TimePoint now) {
@@ -182,8 +186,10 @@
     if (IsLost(router, pool, assignment.epoch)) continue;
     router.lost_epochs.erase(pool);
     if (FindScheduler(router, pool) == nullptr) {
+      const scheduler::Options options{
+          .old_lease = lease::InForceAfter(router.holder.options.terms)};
       router.schedulers.emplace(
-          pool, scheduler::Create({}, pool, assignment.epoch, now));
+          pool, scheduler::Create(options, pool, assignment.epoch, now));
       router.scheduled_epochs[pool] = assignment.epoch;
       events::Log({.number = events::Number::kSchedulerStarted,
                    .service = pool.service,
@@ -217,6 +223,7 @@
     request->second->traits = dispatch.traits;
     Raise(router, dispatch.id, outcome::GrantGot{.grant = ToGrant(dispatch)});
   }
+  RefuseUnserved(router, grant.pool, now);
 }
 
 void OnTargetState(Router& router, const sharing::TargetState& target,
@@ -247,6 +254,7 @@
   AskForLostPools(router, now);
   SendTargetStates(router, now);
   SendDemands(router, now);
+  PumpQuotas(router, now);
   SendGrants(router, now);
   SendShares(router, now);
   // What the grants started or returned may be told at once.
@@ -269,6 +277,7 @@
 void SchedulePump(Router& router) { PumpAfter(router, Duration::zero()); }
 
 void Pump(Router& router) {
+  const WorkScope scope(router.work, Work::kControl);
   const TimePoint now = net::Loop::Now();
   PumpLease(router, now);
   RefuseExpired(router, now);
--- a/samphirebank/router/router.cc
+++ b/samphirebank/router/router.cc
@@ -42,7 +42,9 @@
                                std::string_view bytes) {
          OnPacket(router, from, bytes);
        }});
-  router.peer_address = {.ip = identity.address, .port = router.peers->port()};
+  const net::SocketAddress bound{.ip = identity.address,
+                                 .port = router.peers->port()};
+  router.peer_address = router.settings.peer_address.value_or(bound);
 }
 
 void OpenServers(Router& router) {
@@ -97,6 +99,10 @@
   Router router;
   router.settings = settings;
   router.boot = RandomBoot();
+  // Grants name records by number: those of an earlier run must fit none.
+  constexpr uint64_t kFirstGenerations = 1 << 20;
+  router.queues.last_generation =
+      static_cast<uint32_t>(router.boot.value % kFirstGenerations);
   try {
     Serve(router);
   } catch (const std::exception& error) {
--- a/samphirebank/scheduler/internal/state.h
+++ b/samphirebank/scheduler/internal/state.h
@@ -5,6 +5,7 @@
 #ifndef SAMPHIREBANK_SCHEDULER_INTERNAL_STATE_H_
 #define SAMPHIREBANK_SCHEDULER_INTERNAL_STATE_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -16,6 +17,7 @@
 
 #include "samphirebank/capacity/capacity.h"
 #include "samphirebank/placement/placement.h"
+#include "samphirebank/quota/quota.h"
 #include "samphirebank/scheduler/scheduler.h"
 
 namespace samphirebank::scheduler {
@@ -30,6 +32,18 @@
   uint32_t concurrency = 0;
   uint32_t queue_length = 0;
   int64_t tokens_per_minute = 0;
+  bool spans_pools = false;  // the contract allows further pools
+  bool split = false;        // this pool has only a quota of the limits
+};
+
+// QuotaRecord is the quota that this pool may use of an organisation's limits.
+struct QuotaRecord {
+  sharing::Quota quota{};
+  uint64_t used_from = 0;          // the ask whose answer gave it
+  std::optional<TimePoint> until;  // in Scheduler::lapsing
+  uint32_t waiting_elsewhere = 0;  // requests, in other pools
+  uint64_t returned_in = 0;        // the newest ask that gave quota back
+  bool returned = false;           // by the newest ask that told its state
 };
 
 // Bucket is a token bucket; its level may fall below 0.
@@ -58,6 +72,27 @@
 // Source orders the routers that hold an organisation's requests by age.
 using Source = std::tuple<TimePoint, uint64_t, RouterOrganisation*>;
 
+// FarService is what another region told of an organisation.
+struct FarService {
+  uint32_t generation = 0;
+  int64_t charged = 0;  // tokens
+  bool waits = false;   // requests wait there
+  TimePoint heard_at{};
+};
+
+// Loan is what one other region may use of a target here.
+struct Loan {
+  uint32_t wanted = 0;  // slots to be lent, once they are free
+  uint32_t slots = 0;   // told; both hold until `until`
+  TimePoint until{};
+  // Told before, and more than now: counts until the other region confirms
+  // `past_share` or a later one, at most until `past_until`.
+  uint32_t past_slots = 0;
+  TimePoint past_until{};
+  uint64_t past_share = 0;
+  uint32_t used = 0;  // as the other region told
+};
+
 // Organisation is the fleet-wide record of one organisation in this pool.
 struct Organisation {
   OrganisationId id{};
@@ -78,19 +113,20 @@
   TimePoint left_at{};  // when it stopped being ready for want of requests
   bool seeded = false;  // its counter is known
   std::optional<TimePoint> blocked_until{};  // in Scheduler::blocked
-  // Shared with the other region's scheduler.
+  QuotaRecord quota{};
+  // Shared with the schedulers of other regions.
   uint32_t share_generation = 0;
   int64_t charged = 0;  // tokens, here
-  uint32_t far_generation = 0;
-  int64_t far_charged = 0;  // tokens, as the other region told
+  std::map<PoolId, FarService> far{};
 };
 
-// Target is one target of the pool, or a loaned one of the other region.
+// Target is one target of the pool, or one that another region lends.
 struct Target {
   TargetId id{};
   uint64_t number = 0;  // breaks ties
   net::SocketAddress address{};
   sharing::TargetTraits traits{};
+  uint32_t facts = 1;  // counts the changes of address and traits
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
   contracts::TargetIntent intent = contracts::TargetIntent::kServing;
@@ -98,11 +134,12 @@
   TimePoint heard_at{};
   bool known = false;  // it has reported
   bool far = false;
-  TimePoint loan_until{};
-  uint32_t loan = 0;  // slots lent to the other region, or by it
-  uint32_t loan_used = 0;
-  uint32_t running = 0;   // requests, as routers reported
-  uint32_t reserved = 0;  // granted, not confirmed
+  // Of a far one: slots that its region lends.
+  uint32_t borrowed = 0;
+  TimePoint borrowed_until{};
+  std::map<PoolId, Loan> loans{};  // of a near one
+  uint32_t running = 0;            // requests, as routers reported
+  uint32_t reserved = 0;           // granted, not confirmed
   capacity::State capacity{};
   // Speed as routers see it.
   uint64_t tokens = 0;      // since observed_at
@@ -133,6 +170,13 @@
   std::vector<Reservation> reservations{};
 };
 
+// ToldTarget is what a router was told of a target's address and traits.
+struct ToldTarget {
+  uint32_t facts = 0;  // Target::facts
+  uint64_t grant = 0;  // that told them
+  bool confirmed = false;
+};
+
 // Router is all that is known of one entry router.
 struct Router {
   InstanceId id{};
@@ -148,7 +192,11 @@
   uint64_t last_grant = 0;
   std::map<uint64_t, PendingGrant> pending{};
   std::unordered_map<Organisation*, RouterOrganisation> organisations{};
+  // By the numbers of the router's records, of which names are told once.
+  std::unordered_map<uint32_t, Organisation*> generations{};
   std::unordered_map<Target*, sharing::TargetUse> uses{};
+  std::unordered_map<const Target*, ToldTarget> told{};
+  sharing::Receipts grants{};  // received there, by its newest demand
   std::vector<sharing::GrantItem> items{};      // of the grant being made
   std::vector<Reservation> reservations{};      // of the grant being made
   std::vector<sharing::QueueNotice> notices{};  // of the grant being made
@@ -162,6 +210,21 @@
   uint64_t last_share = 0;  // sent
   std::map<uint64_t, TimePoint> sent_at{};
   bool wants_slots = false;
+  uint32_t capacity = 0;  // requests that its own targets can carry
+  bool has_targets = false;
+  double behind = 0;  // tokens that it is behind, smoothed
+  double trim = 0;    // slots lent above its part of what is left
+};
+
+// QuotaGroup is the exchange with one coordinator of limits.
+struct QuotaGroup {
+  std::optional<sharing::CoordinatorId> coordinator{};
+  uint64_t last_ask = 0;
+  std::map<uint64_t, TimePoint> sent_at{};
+  TimePoint asked_at{};
+  bool urgent = false;                   // a member has no quota yet
+  std::set<OrganisationId> members{};    // whose state is told
+  std::optional<OrganisationId> next{};  // the round goes on there
 };
 
 struct Scheduler {
@@ -175,11 +238,16 @@
   std::unordered_map<OrganisationId, Organisation> organisations{};
   std::map<InstanceId, Router> routers{};
   std::map<TargetId, Target> targets{};
+  std::unordered_map<uint64_t, Target*> numbered{};  // by Target::number
   std::map<PoolId, Neighbour> neighbours{};
   // Organisations that may be granted now, by counter.
   std::set<std::tuple<double, uint64_t, Organisation*>> ready{};
   // Organisations whose rate limits bind, by the time when they end.
   std::set<std::tuple<TimePoint, uint64_t, Organisation*>> blocked{};
+  std::array<QuotaGroup, quota::kGroups> quota_groups{};
+  // Organisations with a quota, by the time when it expires.
+  std::set<std::tuple<TimePoint, uint64_t, Organisation*>> lapsing{};
+  size_t pools = 0;  // of the fleet
   // Targets with room, by load.
   std::set<std::tuple<double, uint64_t, Target*>> free{};
   // Routers that are owed an answer, by the time when it is due.
@@ -198,6 +266,7 @@
   uint64_t waiting = 0;
   uint64_t running = 0;
   uint64_t reserved = 0;
+  TimePoint targets_seen_at{};  // in any region
   TimePoint swept_at{};
   TimePoint records_swept_at{};
   TimePoint saturated_since{};
@@ -216,6 +285,10 @@
 // TargetOf returns the record of a target, made if missing.
 Target& TargetOf(Scheduler& scheduler, const TargetId& id, TimePoint now);
 
+// SetFacts takes a target's address and traits.
+void SetFacts(Target& target, const net::SocketAddress& address,
+              const sharing::TargetTraits& traits);
+
 // Charge moves an organisation's counter by `tokens`.
 void Charge(Scheduler& scheduler, Organisation& organisation, int64_t tokens);
 
@@ -273,10 +346,47 @@
 std::optional<TimePoint> BlockedUntil(Organisation& organisation,
                                       TimePoint now);
 
+// FillBuckets brings an organisation's token buckets to `now`.
+void FillBuckets(Organisation& organisation, TimePoint now);
+
+// Owes says whether an organisation used more tokens than its limit allows.
+bool Owes(const Organisation& organisation);
+
+// LacksQuota says whether an organisation's limits are split and this pool has
+// no part of one of them.
+bool LacksQuota(const Organisation& organisation);
+
+// ConcurrencyLimit is how many requests may run here; 0: LacksQuota or none.
+uint64_t ConcurrencyLimit(const Organisation& organisation);
+
+// FollowQuota notes whether the coordinator of its limits must be told of an
+// organisation.
+void FollowQuota(Scheduler& scheduler, Organisation& organisation);
+
+// LapseQuotas ends the quotas that are over.
+void LapseQuotas(Scheduler& scheduler, TimePoint now);
+
+// UseCoordinators takes the coordinators from the configuration.
+void UseCoordinators(Scheduler& scheduler,
+                     const contracts::Configuration& configuration);
+
 // TakeRate counts `requests` (may be 0) and `tokens` (may be negative)
 // against the rate limits.
 void TakeRate(Organisation& organisation, uint32_t requests, int64_t tokens);
 
+// LoansUsed is what other regions run on a target.
+uint32_t LoansUsed(const Target& target);
+
+// Stands says whether a target offers to serve, by its own and the operators'
+// word.
+bool Stands(const Scheduler& scheduler, const Target& target, TimePoint now);
+
+// Serves says whether a target may be granted requests now.
+bool Serves(const Scheduler& scheduler, const Target& target, TimePoint now);
+
+// WaitsFar says whether requests of an organisation wait in another region.
+bool WaitsFar(const Organisation& organisation, TimePoint now);
+
 // UpdateSpill decides whether other regions' targets are used.
 void UpdateSpill(Scheduler& scheduler, TimePoint now);
 
--- a/samphirebank/scheduler/records.cc
+++ b/samphirebank/scheduler/records.cc
@@ -2,7 +2,7 @@
 #include <cmath>
 #include <limits>
 
-#include "samphirebank/scheduler/internal/state.h"
+#include "samphirebank/scheduler/internal/loans.h"
 
 namespace samphirebank::scheduler::internal {
 namespace {
@@ -53,12 +53,18 @@
 }
 
 bool AtConcurrency(const Organisation& organisation) {
-  const uint32_t most = organisation.limits.concurrency;
+  const uint64_t most = ConcurrencyLimit(organisation);
   return most != 0 && organisation.running + organisation.reserved >= most;
 }
 
 }  // namespace
 
+bool WaitsFar(const Organisation& organisation, TimePoint now) {
+  return std::ranges::any_of(organisation.far, [now](const auto& item) {
+    return IsWaiting(item.second, now);
+  });
+}
+
 Organisation& OrganisationOf(Scheduler& scheduler, const OrganisationId& id) {
   auto [position, added] = scheduler.organisations.try_emplace(id);
   Organisation& organisation = position->second;
@@ -98,6 +104,7 @@
 
 void Place(Scheduler& scheduler, Organisation& organisation, TimePoint now) {
   CountActive(scheduler, organisation);
+  FollowQuota(scheduler, organisation);
   LeaveBlocked(scheduler, organisation);
   if (organisation.sources.empty()) {
     if (organisation.ready) organisation.left_at = now;
@@ -105,7 +112,8 @@
     return;
   }
   std::optional<TimePoint> until;
-  const bool bound = !organisation.allowed || AtConcurrency(organisation);
+  const bool bound = !organisation.allowed || LacksQuota(organisation) ||
+                     AtConcurrency(organisation);
   if (!bound) until = BlockedUntil(organisation, now);
   if (!bound && !until) {
     EnterReady(scheduler, organisation, now);
@@ -196,6 +204,7 @@
     PlaceTarget(scheduler, *target, now);
   }
   router.organisations.clear();
+  router.generations.clear();
   router.uses.clear();
   if (router.acknowledge_at) {
     scheduler.answers.erase({*router.acknowledge_at, router.number, &router});
@@ -206,12 +215,14 @@
 void SweepRecords(Scheduler& scheduler, TimePoint now) {
   // A record that ended is kept while its last demand may be sent again.
   constexpr Duration kKeepEnded = std::chrono::seconds(60);
-  for (auto& [id, router] : scheduler.routers) {
+  for (auto& item : scheduler.routers) {
+    Router& router = item.second;
     std::erase_if(router.organisations, [&](const auto& item) {
       const RouterOrganisation& source = item.second;
       const bool idle = source.waiting + source.running + source.reserved == 0;
       if (!idle || now - source.changed_at < kKeepEnded) return false;
       source.organisation->references -= 1;
+      router.generations.erase(source.generation);
       return true;
     });
   }
@@ -219,7 +230,8 @@
   std::erase_if(scheduler.organisations, [&](const auto& item) {
     const Organisation& organisation = item.second;
     return organisation.references == 0 && !organisation.ready &&
-           !organisation.active && organisation.counter <= scheduler.floor;
+           !WaitsFar(organisation, now) && !organisation.active &&
+           !organisation.quota.until && organisation.counter <= scheduler.floor;
   });
 }
 
--- a/samphirebank/scheduler/scheduler_test.cc
+++ b/samphirebank/scheduler/scheduler_test.cc
@@ -7,6 +7,9 @@
 #include <utility>
 #include <vector>
 
+#include "samphirebank/lease/lease.h"
+#include "samphirebank/queue/queue.h"
+
 namespace samphirebank::scheduler {
 namespace {
 
@@ -29,6 +32,7 @@
   State state = Create({.headroom = 0}, kPool, Epoch(1), kStart);
   contracts::Configuration configuration;
   std::map<std::string, uint64_t> sequences;
+  std::map<uint32_t, std::string> names;  // of records, by generation
 
   Bench() {
     this->Contract(ContractOf("a"));
@@ -43,22 +47,28 @@
   }
 
   void Report(const std::string& target, uint32_t slots,
-              TargetIntent intent = TargetIntent::kServing) {
+              TargetIntent intent = TargetIntent::kServing,
+              const sharing::TargetTraits& traits = {}) {
     OnTargetState(this->state,
                   {.pool = kPool,
                    .target = TargetId(target),
                    .incarnation = 1,
                    .sequence = ++this->sequences[target],
                    .intent = intent,
-                   .slots = slots},
+                   .slots = slots,
+                   .traits = traits},
                   this->now);
   }
 
   void Ask(const std::string& router,
            std::vector<sharing::OrganisationDemand> organisations,
-           std::vector<sharing::TargetUse> uses = {}, uint64_t grants = 0) {
+           std::vector<sharing::TargetUse> uses = {}, uint64_t grants = 0,
+           Epoch epoch = Epoch(1)) {
+    for (const auto& told : organisations) {
+      this->names[told.generation] = told.organisation.value;
+    }
     sharing::Demand demand{.pool = kPool,
-                           .epoch = Epoch(1),
+                           .epoch = epoch,
                            .sequence = ++this->sequences[router],
                            .full = this->sequences[router] == 1,
                            .organisations = std::move(organisations),
@@ -72,7 +82,7 @@
     std::map<std::string, uint32_t> counts;
     for (const Outgoing& out : Tick(this->state, this->now)) {
       for (const auto& item : out.grant.items) {
-        counts[item.organisation.value] += item.count;
+        counts[this->names.at(item.generation)] += item.count;
       }
     }
     return counts;
@@ -82,7 +92,7 @@
 sharing::OrganisationDemand Wants(const std::string& organisation,
                                   uint32_t waiting, uint32_t estimate = 100) {
   return {.organisation = OrganisationId(organisation),
-          .generation = 1,
+          .generation = static_cast<uint32_t>(organisation[0]),
           .waiting = waiting,
           .estimate = estimate};
 }
@@ -237,12 +247,60 @@
   CHECK(bench.Granted() == Counts{{"a", 1}});
 }
 
+TEST_CASE("a record is known by its number once it was named, else asked for") {
+  Bench bench;
+  bench.now += seconds(1);
+  bench.Report("t1", 4);
+  sharing::OrganisationDemand unnamed = Wants("a", 2);
+  unnamed.organisation = {};
+  bench.Ask("r1", {});
+  bench.Granted();
+  bench.Ask("r1", {unnamed});
+  bench.now += milliseconds(200);
+  const auto out = Tick(bench.state, bench.now);
+  REQUIRE(out.size() == 1);
+  CHECK(out[0].grant.full_wanted);
+  bench.Ask("r1", {Wants("a", 1)});
+  CHECK(bench.Granted() == Counts{{"a", 1}});
+  unnamed.waiting = 3;
+  bench.Ask("r1", {unnamed});
+  bench.names['a'] = "a";
+  CHECK(bench.Granted() == Counts{{"a", 2}});
+}
+
+TEST_CASE("a target's address is told until confirmed, again when it changes") {
+  Bench bench;
+  bench.now += seconds(1);
+  uint64_t sequence = 0;
+  // Told returns the port that the next grant tells; 0 if none.
+  const auto told = [&](uint16_t port, uint64_t confirmed) {
+    OnTargetState(bench.state,
+                  {.pool = kPool,
+                   .target = TargetId("t1"),
+                   .address = {.ip = "10.0.0.1", .port = port},
+                   .sequence = ++sequence,
+                   .slots = 100},
+                  bench.now);
+    bench.Ask("r1", {Wants("a", 1)}, {}, confirmed);
+    const auto out = Tick(bench.state, bench.now);
+    bench.now += milliseconds(300);  // what is not confirmed was lost
+    return out.at(0).grant.items.at(0).address.port;
+  };
+  CHECK(told(80, 0) == 80);
+  CHECK(told(80, 0) == 80);
+  CHECK(told(80, 2) == 0);
+  CHECK(told(90, 3) == 90);
+  CHECK(told(90, 3) == 90);
+  CHECK(told(90, 5) == 0);
+}
+
 TEST_CASE("a router that falls silent or restarts holds no slots") {
   Bench bench;
   bench.now += seconds(1);
   bench.Report("t1", 2);
   bench.Ask("r1", {Wants("a", 9)}, {{.target = TargetId("t1"), .running = 2}});
   CHECK(bench.Granted().empty());
+  bench.names['b'] = "b";
   OnDemand(bench.state, InstanceId("r1"), BootId(2),
            {.pool = kPool,
             .epoch = Epoch(1),
@@ -259,6 +317,55 @@
   CHECK(Summarize(bench.state).running == 0);
 }
 
+// LastOldOrder is until when a router may send what the old scheduler granted
+// it at `at`, when both are cut off from everyone else.
+TimePoint LastOldOrder(TimePoint at) {
+  Bench old;
+  old.now = at;
+  queue::State router;
+  queue::OnEpoch(router, kPool, Epoch(1), at);
+  queue::Enqueue(router,
+                 {.id = RequestId("q"),
+                  .pool = kPool,
+                  .organisation = OrganisationId("a"),
+                  .deadline = at + seconds(60)},
+                 {}, at);
+  old.Report("ignores", 1);
+  OnDemand(old.state, InstanceId("r1"), BootId(1),
+           queue::BuildDemand(router, kPool, at), at);
+  std::vector<queue::Dispatch> dispatches;
+  for (const Outgoing& out : Tick(old.state, at)) {
+    for (const auto& dispatch : queue::ApplyGrant(router, out.grant, at)) {
+      dispatches.push_back(dispatch);
+    }
+  }
+  REQUIRE(dispatches.size() == 1);
+  return dispatches.front().expires;
+}
+
+TEST_CASE("a new scheduler waits out the old one where fencing is ignored") {
+  const Duration old_lease = lease::InForceAfter({});
+  const TimePoint last = LastOldOrder(kStart + old_lease);
+  Bench bench;
+  bench.state =
+      Create({.old_lease = old_lease, .headroom = 0}, kPool, Epoch(2), kStart);
+  OnConfiguration(bench.state, bench.configuration, kStart);
+  std::map<std::string, TimePoint> first;
+  for (; first.size() < 2; bench.now += milliseconds(10)) {
+    REQUIRE(bench.now < kStart + seconds(10));
+    bench.Report("checks", 1, TargetIntent::kServing, {.checks_fencing = true});
+    bench.Report("ignores", 1);
+    bench.Ask("r1", {Wants("a", 9)}, {}, 0, Epoch(2));
+    for (const Outgoing& out : Tick(bench.state, bench.now)) {
+      for (const auto& item : out.grant.items) {
+        first.try_emplace(item.target.value, bench.now);
+      }
+    }
+  }
+  CHECK(first["checks"] == kStart + seconds(1));
+  CHECK(first["ignores"] > last);
+}
+
 TEST_CASE("a router that was never heard is asked for everything") {
   Bench bench;
   bench.sequences["r1"] = 5;
--- a/samphirebank/scheduler/targets.cc
+++ b/samphirebank/scheduler/targets.cc
@@ -2,7 +2,7 @@
 #include <utility>
 #include <vector>
 
-#include "samphirebank/scheduler/internal/state.h"
+#include "samphirebank/scheduler/internal/loans.h"
 
 namespace samphirebank::scheduler {
 namespace internal {
@@ -24,27 +24,30 @@
   return std::chrono::duration<double>(span).count();
 }
 
-bool Serving(const Scheduler& scheduler, const Target& target, TimePoint now) {
-  using contracts::TargetIntent;
-  if (target.far) {
-    return scheduler.spilling &&
-           now + scheduler.options.grant_lifetime <= target.loan_until;
-  }
-  if (!target.known || target.intent != TargetIntent::kServing) return false;
-  if (target.declared != TargetIntent::kServing) return false;
-  if (now - target.heard_at >= scheduler.options.suspect_after) return false;
-  return now >= target.trusted_at;
+// kDriftAllowance covers clocks that differ over a grant's lifetime.
+constexpr Duration kDriftAllowance = std::chrono::milliseconds(10);
+
+// AwaitsOldGrants says whether an order under an older epoch could still reach
+// a target that would run it.
+bool AwaitsOldGrants(const Scheduler& scheduler, const Target& target,
+                     TimePoint now) {
+  const Options& options = scheduler.options;
+  if (scheduler.epoch <= Epoch(1) || target.traits.checks_fencing) return false;
+  const Duration old_grants =
+      options.old_lease + options.grant_lifetime + kDriftAllowance;
+  return options.old_lease > Duration::zero() &&
+         now - scheduler.created_at < old_grants;
 }
 
 uint32_t Limit(const Target& target) {
-  return target.far ? target.loan : capacity::Limit(target.capacity);
+  return target.far ? target.borrowed : capacity::Limit(target.capacity);
 }
 
-// Lent is what the other region runs, or may still start, on a target.
+// Lent is what other regions run, or may still start, on a target.
 uint32_t Lent(const Target& target, TimePoint now) {
-  if (target.far) return 0;
-  const uint32_t may_start = now < target.loan_until ? target.loan : 0;
-  return std::max(may_start, target.loan_used);
+  uint32_t lent = 0;
+  for (const auto& [pool, loan] : target.loans) lent += Counted(loan, now);
+  return lent;
 }
 
 // CountFlap makes a target that keeps coming and going wait for its return.
@@ -86,12 +89,35 @@
 
 }  // namespace
 
+bool Stands(const Scheduler& scheduler, const Target& target, TimePoint now) {
+  using contracts::TargetIntent;
+  if (target.declared != TargetIntent::kServing) return false;
+  if (target.far) return now < target.borrowed_until;
+  if (!target.known || target.intent != TargetIntent::kServing) return false;
+  return now - target.heard_at < scheduler.options.suspect_after;
+}
+
+bool Serves(const Scheduler& scheduler, const Target& target, TimePoint now) {
+  if (AwaitsOldGrants(scheduler, target, now)) return false;
+  if (!Stands(scheduler, target, now)) return false;
+  if (!target.far) return now >= target.trusted_at;
+  return scheduler.spilling &&
+         now + scheduler.options.grant_lifetime <= target.borrowed_until;
+}
+
+uint32_t LoansUsed(const Target& target) {
+  uint32_t used = 0;
+  for (const auto& [pool, loan] : target.loans) used += loan.used;
+  return used;
+}
+
 Target& TargetOf(Scheduler& scheduler, const TargetId& id, TimePoint now) {
   auto [position, added] = scheduler.targets.try_emplace(id);
   Target& target = position->second;
   if (!added) return target;
   target.id = id;
   target.number = ++scheduler.last_number;
+  scheduler.numbered.emplace(target.number, &target);
   target.heard_at = now;
   target.trusted_at = now;
   target.observed_at = now;
@@ -105,12 +131,20 @@
   return target;
 }
 
+void SetFacts(Target& target, const net::SocketAddress& address,
+              const sharing::TargetTraits& traits) {
+  if (target.address == address && target.traits == traits) return;
+  target.address = address;
+  target.traits = traits;
+  target.facts += 1;
+}
+
 uint32_t InFlight(const Target& target) {
   return target.running + target.reserved;
 }
 
 uint32_t Room(const Scheduler& scheduler, const Target& target, TimePoint now) {
-  if (!Serving(scheduler, target, now)) return 0;
+  if (!Serves(scheduler, target, now)) return 0;
   const uint32_t taken = InFlight(target) + Lent(target, now);
   const uint32_t limit = Limit(target);
   return limit > taken ? limit - taken : 0;
@@ -159,14 +193,18 @@
       target.suspected = true;
     }
     PlaceTarget(scheduler, target, now);
-    if (Serving(scheduler, target, now)) scheduler.capacity += Limit(target);
-    const bool idle = InFlight(target) == 0 && target.loan_used == 0;
+    if (Serves(scheduler, target, now)) scheduler.capacity += Limit(target);
+    const bool idle = InFlight(target) == 0 && LoansUsed(target) == 0;
     const bool gone = silence >= scheduler.options.drop_after && idle;
     if (!gone) {
       ++position;
       continue;
     }
-    for (auto& [id, router] : scheduler.routers) router.uses.erase(&target);
+    for (auto& [id, router] : scheduler.routers) {
+      router.uses.erase(&target);
+      router.told.erase(&target);
+    }
+    scheduler.numbered.erase(target.number);
     scheduler.ring_stale = true;
     position = scheduler.targets.erase(position);
   }
@@ -194,8 +232,7 @@
   target.suspected = false;
   target.known = true;
   target.heard_at = std::max(target.heard_at, taken_at);
-  target.address = report.address;
-  target.traits = report.traits;
+  internal::SetFacts(target, report.address, report.traits);
   target.incarnation = report.incarnation;
   target.sequence = report.sequence;
   target.intent = report.intent;
@@ -204,7 +241,8 @@
                       .running = report.running,
                       .waiting = report.waiting,
                       .age = std::chrono::milliseconds(report.age_ms)},
-                     internal::InFlight(target) + target.loan_used, now);
+                     internal::InFlight(target) + internal::LoansUsed(target),
+                     now);
   internal::PlaceTarget(scheduler, target, now);
 }
 
--- a/samphirebank/settings/settings.h
+++ b/samphirebank/settings/settings.h
@@ -80,6 +80,8 @@
   uint16_t caller_port = 8080;
   uint16_t admin_port = 8081;
   uint16_t peer_port = 8082;
+  // Where others reach the peer port; nothing: identity.address and peer_port.
+  std::optional<net::SocketAddress> peer_address = {};
   std::vector<net::SocketAddress> control = {};  // peer addresses
   Secret fleet_key = {};                         // 64 hexadecimal digits
   Secret target_token = {};
@@ -136,6 +138,7 @@
   std::string subject =
       {};  // a contract file, an organisation, a target, a member
   ChangeId change_id = {};  // empty: a fresh one
+  std::string author = {};  // whom others are told of
   std::optional<Revision> if_match = {};
   bool wait_in_force = false;
   bool json = false;
--- a/samphirebank/sharing/sharing.h
+++ b/samphirebank/sharing/sharing.h
@@ -5,7 +5,9 @@
 // An entry router sends `Demand` to the scheduler of a pool; the scheduler
 // answers with `Grant`. Any router forwards a target's `TargetState` to the
 // scheduler of the target's pool. Schedulers of one service in two regions
-// exchange `CounterShare`.
+// exchange `CounterShare`. A scheduler asks the coordinator of an organisation
+// that has limits for its pool's part of them by `QuotaAsk`; the answer is
+// `QuotaGrant`.
 //
 // Messages may be lost, doubled, reordered or late. All numbers are therefore
 // absolute or cumulative, each side says which messages it received
@@ -59,6 +61,7 @@
 // OrganisationDemand is the state of one organisation's requests for one pool
 // at one router.
 struct OrganisationDemand {
+  // Empty once the scheduler confirmed a demand that named this generation.
   OrganisationId organisation{};
   // Numbers the router's record; `charged` counts from 0 in each generation.
   uint32_t generation = 0;
@@ -69,7 +72,7 @@
   uint32_t oldest_age_ms = 0;  // of the request that waits longest
   uint64_t prefix = 0;         // hash of that request's prefix; 0: none
   int64_t charged = 0;         // tokens: seen or, while more, estimated
-  double counter = 0;          // the newest counter a grant told this router
+  double counter = 0;          // the newest that a grant told; in full demands
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
@@ -82,14 +85,15 @@
     internal::Number(archive, oldest_age_ms);
     internal::Rare(archive, prefix);
     internal::Signed(archive, charged);
-    internal::Rare(archive, counter);
+    internal::Rounded(archive, counter);
   }
 };
 
 // TargetUse is what one router runs on one target; the totals are cumulative
 // since the router's process started.
 struct TargetUse {
-  TargetId target{};
+  TargetId target{};     // empty if the scheduler's number of it is told
+  uint64_t number = 0;   // of the target; 0: not known
   uint32_t running = 0;  // requests
   uint32_t failed = 0;   // requests, total
   uint64_t tokens = 0;   // seen from the target, total
@@ -97,6 +101,7 @@
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
     internal::Text(archive, target.value);
+    internal::Number(archive, number);
     internal::Number(archive, running);
     internal::Number(archive, failed);
     internal::Number(archive, tokens);
@@ -151,24 +156,31 @@
   }
 };
 
-// GrantItem lets a router dispatch `count` requests of one organisation.
+// GrantItem lets a router dispatch `count` requests of one organisation. The
+// target's name, address and traits are left out once the router confirmed a
+// grant that told them with its number; `target` is empty then.
 struct GrantItem {
-  OrganisationId organisation{};
+  uint32_t generation = 0;  // of the organisation's record at the router
+  uint64_t number = 0;      // of the target, given by the scheduler
   TargetId target{};
   net::SocketAddress address{};
+  TargetTraits traits{};
   uint32_t count = 0;
   bool far = false;    // the target is in another region
   double counter = 0;  // the organisation's, after this grant
-  TargetTraits traits{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    internal::Text(archive, organisation.value);
+    internal::Number(archive, generation);
+    internal::Number(archive, number);
     internal::Text(archive, target.value);
-    internal::Address(archive, address);
+    if (!target.value.empty()) {
+      internal::Address(archive, address);
+      archive(traits);
+    }
     internal::Number(archive, count);
-    archive(far, traits);
-    internal::Rare(archive, counter);
+    archive(far);
+    internal::Rounded(archive, counter);
   }
 };
 
@@ -198,6 +210,7 @@
   uint32_t expires_ms = 0;
   bool full_wanted = false;  // the next demand must be full
   bool backlogged = false;   // requests wait: report ends at once
+  bool no_targets = false;   // in any region: refuse what waits
   std::vector<GrantItem> items{};
   std::vector<QueueNotice> notices{};
 
@@ -209,8 +222,13 @@
     archive(demands);
     internal::Number(archive, held_ms);
     internal::Number(archive, expires_ms);
-    archive(full_wanted);
-    archive(backlogged);
+    auto bits =
+        static_cast<uint8_t>((full_wanted ? 1U : 0U) | (backlogged ? 2U : 0U) |
+                             (no_targets ? 4U : 0U));
+    archive(bits);
+    full_wanted = (bits & 1U) != 0;
+    backlogged = (bits & 2U) != 0;
+    no_targets = (bits & 4U) != 0;
     internal::List(archive, items);
     internal::List(archive, notices);
   }
@@ -252,12 +270,16 @@
   OrganisationId organisation{};
   uint32_t generation = 0;  // numbers the sender's record
   int64_t charged = 0;      // tokens since that record began
+  uint64_t ahead = 0;       // tokens of what runs, charged in advance
+  bool waits = false;       // requests wait in the sender's region
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
     internal::Text(archive, organisation.value);
     internal::Number(archive, generation);
     internal::Signed(archive, charged);
+    internal::Number(archive, ahead);
+    archive(waits);
   }
 };
 
@@ -300,6 +322,8 @@
   uint32_t held_ms = 0;      // since that share arrived
   uint32_t expires_ms = 0;   // of the loans, as in Grant
   bool wants_slots = false;  // saturated: asks for loans
+  bool has_targets = false;  // that may be granted requests
+  uint32_t capacity = 0;     // requests that the sender's targets can carry
   std::vector<OrganisationShare> organisations{};
   std::vector<SlotLoan> loans{};
   std::vector<LoanUse> uses{};  // of the receiver's loans
@@ -312,13 +336,127 @@
     internal::Number(archive, answers);
     internal::Number(archive, held_ms);
     internal::Number(archive, expires_ms);
-    archive(wants_slots);
+    archive(wants_slots, has_targets);
+    internal::Number(archive, capacity);
     internal::List(archive, organisations);
     internal::List(archive, loans);
     internal::List(archive, uses);
   }
 };
 
+// CoordinatorId names a coordinator of limits: the group of organisations that
+// it serves, and the scheduler assignment whose holder it runs on. A new
+// holder is another coordinator.
+struct CoordinatorId {
+  uint32_t group = 0;
+  PoolId pool{};
+  Epoch epoch{};
+
+  friend bool operator==(const CoordinatorId&, const CoordinatorId&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    internal::Number(archive, group);
+    internal::Pool(archive, pool);
+    internal::Number(archive, epoch.value);
+  }
+};
+
+// Quota is a part of an organisation's limits. Where the contract sets no
+// limit the value means nothing.
+struct Quota {
+  uint64_t millirequests_per_second = 0;
+  uint64_t tokens_per_minute = 0;
+  uint64_t concurrency = 0;  // requests
+
+  friend bool operator==(const Quota&, const Quota&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    internal::Number(archive, millirequests_per_second);
+    internal::Number(archive, tokens_per_minute);
+    internal::Number(archive, concurrency);
+  }
+};
+
+// QuotaUse is one organisation's state in the asking scheduler's pool. One
+// with nothing waiting, running or owed gives its quota back: the scheduler
+// uses no grant that answers an earlier ask.
+struct QuotaUse {
+  OrganisationId organisation{};
+  uint32_t waiting = 0;    // requests
+  uint32_t running = 0;    // requests, granted ones included
+  bool owes = false;       // spent more tokens than its quota allowed
+  uint64_t used_from = 0;  // the ask whose answer is used; 0: none
+
+  // Idle says whether the organisation gives its quota back.
+  bool Idle() const { return waiting == 0 && running == 0 && !owes; }
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    internal::Text(archive, organisation.value);
+    internal::Number(archive, waiting);
+    internal::Number(archive, running);
+    archive(owes);
+    internal::Number(archive, used_from);
+  }
+};
+
+// QuotaAsk tells a coordinator what a pool wants of organisations' limits.
+struct QuotaAsk {
+  static constexpr wire::Kind kKind = wire::Kind::kQuotaAsk;
+  CoordinatorId to{};
+  PoolId pool{};  // the sender's
+  Epoch epoch{};
+  uint64_t sequence = 0;
+  std::vector<QuotaUse> uses{};
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(to);
+    internal::Pool(archive, pool);
+    internal::Number(archive, epoch.value);
+    internal::Number(archive, sequence);
+    internal::List(archive, uses);
+  }
+};
+
+// QuotaItem is the part of one organisation's limits that a pool may use.
+struct QuotaItem {
+  OrganisationId organisation{};
+  Quota quota{};
+  uint32_t waiting_elsewhere = 0;  // requests, in the other pools
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    internal::Text(archive, organisation.value);
+    archive(quota);
+    internal::Number(archive, waiting_elsewhere);
+  }
+};
+
+// QuotaGrant answers one ask. Its items expire `expires_ms` after that ask was
+// sent.
+struct QuotaGrant {
+  static constexpr wire::Kind kKind = wire::Kind::kQuotaGrant;
+  CoordinatorId from{};
+  PoolId pool{};  // the receiver's
+  Epoch epoch{};
+  uint64_t answers = 0;  // the ask's sequence
+  uint32_t expires_ms = 0;
+  std::vector<QuotaItem> items{};
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(from);
+    internal::Pool(archive, pool);
+    internal::Number(archive, epoch.value);
+    internal::Number(archive, answers);
+    internal::Number(archive, expires_ms);
+    internal::List(archive, items);
+  }
+};
+
 }  // namespace samphirebank::sharing
 
 #endif  // SAMPHIREBANK_SHARING_SHARING_H_
--- a/samphirebank/testing/processes.h
+++ b/samphirebank/testing/processes.h
@@ -21,7 +21,8 @@
 
 namespace samphirebank::testing {
 
-// FreePort returns a port that is free for TCP and UDP.
+// FreePort returns a port that is free for TCP and UDP. No other call, of this
+// or another test process, returns it again while this process lives.
 uint16_t FreePort();
 
 // Folder is a temporary folder that goes with the object.
@@ -65,6 +66,7 @@
   std::string path;
   std::vector<std::string> headers = {};  // "name: value"
   std::string body = {};
+  int answer_seconds = 30;  // the longest silence that End waits for
 };
 
 // Reply is what came back; status 0 without a head.
@@ -75,8 +77,9 @@
   bool whole = false;  // by content-length or the last chunk
 };
 
-// Connect opens a connection that sends `text` first.
-int Connect(uint16_t port, const std::string& text);
+// Connect opens a connection that sends `text` first. End then waits for a
+// silence of at most `answer_seconds`.
+int Connect(uint16_t port, const std::string& text, int answer_seconds = 30);
 
 // Begin sends a request and returns its connection; End reads the answer.
 int Begin(uint16_t port, const Call& call);
