--- a/samphirebank/control/process_test.cc
+++ b/samphirebank/control/process_test.cc
@@ -169,8 +169,9 @@
   for (const int i : unanswered) {
     CHECK(group.Ask(PutContract(i, "org" + std::to_string(i))).status == 200);
   }
-  for (ControlInstance& instance : group.instances)
+  for (ControlInstance& instance : group.instances) {
     ControlGroup::Kill(instance);
+  }
   for (ControlInstance& instance : group.instances) group.Start(instance);
   group.CheckContracts(kChanges);
 }
--- a/samphirebank/outcomes_test/fleet.cc
+++ b/samphirebank/outcomes_test/fleet.cc
@@ -82,7 +82,7 @@
 
 }  // namespace
 
-Fleet::Fleet(FleetOptions options)
+Fleet::Fleet(const FleetOptions& options)
     : members(options.controls), entries(options.routers) {
   this->StartAll();
   PutContract(*this, "guides", options.contract);
--- a/samphirebank/outcomes_test/internal/fleet.h
+++ b/samphirebank/outcomes_test/internal/fleet.h
@@ -52,7 +52,7 @@
 // Fleet serves the model "small" and the service "pay", whose calls may run
 // once, to two organisations. It starts no target.
 struct Fleet {
-  explicit Fleet(FleetOptions options);
+  explicit Fleet(const FleetOptions& options);
 
   void StartControl(size_t index);
   void StartRouter(size_t index);
--- a/samphirebank/outcomes_test/silent_connections_process_test.cc
+++ b/samphirebank/outcomes_test/silent_connections_process_test.cc
@@ -71,6 +71,7 @@
   const uint16_t port = fleet.entries[0].caller;
 
   std::vector<int> streams;
+  streams.reserve(kConnections);
   for (int i = 0; i < kConnections; ++i) {
     streams.push_back(Begin(port, Fleet::CompletionCall("long", 2000)));
   }
--- a/samphirebank/outcomes_test/slow_callers_process_test.cc
+++ b/samphirebank/outcomes_test/slow_callers_process_test.cc
@@ -92,8 +92,9 @@
 
 TEST_CASE("bodies that trickle in are refused as not run") {
   Scene scene;
-  for (int i = 0; i < kCallers; ++i)
+  for (int i = 0; i < kCallers; ++i) {
     scene.Add(kHead + std::string("900\r\n\r\n{"));
+  }
   CHECK(WaitUntil(
       [&] {
         for (const int caller : scene.callers) {
--- a/samphirebank/queue/queue_test.cc
+++ b/samphirebank/queue/queue_test.cc
@@ -147,8 +147,9 @@
 
 TEST_CASE("a target is known by its number once it was told") {
   State state = Started();
-  for (const char* id : {"a", "b", "c", "d"})
+  for (const char* id : {"a", "b", "c", "d"}) {
     Enqueue(state, Make(id), {}, kStart);
+  }
   BuildDemand(state, kPool, kStart);
   const auto apply = [&](uint64_t sequence, const std::string& name,
                          uint16_t port) {
--- a/samphirebank/testing/processes.cc
+++ b/samphirebank/testing/processes.cc
@@ -24,7 +24,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr seconds kGiveUp(30);
 constexpr milliseconds kTryAgain(20);
 
 // Below the ports that the kernel gives to outgoing connections.
--- a/samphirebank/testing/relay.cc
+++ b/samphirebank/testing/relay.cc
@@ -112,7 +112,7 @@
 };
 
 // Serve does what the connection is ready for; false when it is gone.
-bool Serve(Stream& stream, const std::string& piece, short events) {
+bool Serve(Stream& stream, const std::string& piece, int16_t events) {
   if ((events & (POLLIN | POLLHUP | POLLERR)) != 0) {
     char buffer[4096];
     const ssize_t count =
@@ -197,7 +197,7 @@
     std::vector<pollfd> polled = {{this->listener, POLLIN, 0}};
     for (const Stream& stream : streams) {
       const bool writes = !HeadFor(stream.request).empty();
-      const auto events = static_cast<short>(POLLIN | (writes ? POLLOUT : 0));
+      const auto events = static_cast<int16_t>(POLLIN | (writes ? POLLOUT : 0));
       polled.push_back({stream.descriptor, events, 0});
     }
     poll(polled.data(), polled.size(), kTurnMs);
