End a loan 2 s after its target's last report

Cause: a loan lived 1.6 s from the lender's word, whatever the age of the target's last report by then. Normally the lender takes it back as soon as it suspects the target; when its words are lost too, nothing does. The case of share_test on silence could not see that, since no word was lost in it: it passed with and without this change.

A loan now ends with the time that the lender's own routers would have: the last report, the time of suspicion and a grant's life, 2 s together.

--- a/samphirebank/scheduler/loans.cc
+++ b/samphirebank/scheduler/loans.cc
@@ -270,6 +270,20 @@
   loan.until = now + kLoanLifetime;
 }
 
+// Lifetime is how long a region may use what is lent now: no longer than the
+// own routers would use a target that falls silent.
+Duration Lifetime(const Scheduler& scheduler, const PoolId& to, TimePoint now) {
+  const Options& options = scheduler.options;
+  const Duration after_report = options.suspect_after + options.grant_lifetime;
+  Duration lifetime = kLoanLifetime;
+  for (const auto& [id, target] : scheduler.targets) {
+    const auto loan = target.loans.find(to);
+    if (loan == target.loans.end() || loan->second.wanted == 0) continue;
+    lifetime = std::min(lifetime, target.heard_at + after_report - now);
+  }
+  return std::max(lifetime, Duration::zero());
+}
+
 }  // namespace
 
 bool IsHeard(const Neighbour& neighbour, TimePoint now) {
@@ -317,10 +331,9 @@
 
 void Lend(Scheduler& scheduler, const PoolId& to, sharing::CounterShare& share,
           TimePoint now) {
-  share.expires_ms = static_cast<uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(kLoanLifetime)
-          .count());
   Spread(scheduler, to, Wanted(scheduler, to, now), now);
+  share.expires_ms = static_cast<uint32_t>(Lifetime(scheduler, to, now) /
+                                           std::chrono::milliseconds(1));
   for (auto& [id, target] : scheduler.targets) {
     const auto found = target.loans.find(to);
     if (found == target.loans.end()) continue;
--- a/samphirebank/scheduler/share_test.cc
+++ b/samphirebank/scheduler/share_test.cc
@@ -220,9 +220,15 @@
   CHECK(busy.FarDispatches() + also_busy.FarDispatches() == 8);
 }
 
-// LastOfLent is how long after a lent target left, by its word or silently, an
-// order to it may still be sent.
-Duration LastOfLent(bool silent) {
+// Leave is how a lent target leaves.
+struct Leave {
+  bool silent = false;                      // else by its word
+  Duration words_lost_after = seconds(60);  // of the lender, from then on
+};
+
+// LastOfLent is how long after a lent target left an order to it may still be
+// sent.
+Duration LastOfLent(const Leave& leave) {
   Region busy("aqaba", 1);
   Region lender("bilbao", 4);
   TimePoint now = kStart;
@@ -234,11 +240,11 @@
   busy.Enqueue(50, now);
   for (; now < left + seconds(6); now += milliseconds(200)) {
     busy.Report(now);
-    if (!silent) lender.Report(now, contracts::TargetIntent::kLeaving);
+    if (!leave.silent) lender.Report(now, contracts::TargetIntent::kLeaving);
     busy.EndOlder(now - milliseconds(400), now);
     for (Region* region : {&busy, &lender}) region->Step(now);
     Exchange(busy, lender, now);
-    Exchange(lender, busy, now);
+    if (now - left < leave.words_lost_after) Exchange(lender, busy, now);
     for (const auto& dispatch : busy.dispatches) {
       if (dispatch.far) last = std::max(last, dispatch.expires);
     }
@@ -247,8 +253,13 @@
 }
 
 TEST_CASE("a lent target that leaves or falls silent gets nothing after 2 s") {
-  CHECK(LastOfLent(/*silent=*/false) <= seconds(2));
-  CHECK(LastOfLent(/*silent=*/true) <= seconds(2));
+  CHECK(LastOfLent({}) <= seconds(2));
+  CHECK(LastOfLent({.silent = true}) <= seconds(2));
+  for (const int lost_ms : {200, 400, 600, 800, 1000}) {
+    const Leave leave{.silent = true,
+                      .words_lost_after = milliseconds(lost_ms)};
+    CHECK(LastOfLent(leave) <= seconds(2));
+  }
 }
 
 TEST_CASE("a backlogged region lends to one that has less than its share") {
