--- a/samphirebank/control/internal/operator_api.h
+++ b/samphirebank/control/internal/operator_api.h
@@ -13,12 +13,15 @@
 
 #include "samphirebank/base/base.h"
 #include "samphirebank/contracts/contracts.h"
-#include "samphirebank/control/internal/replication.h"
+#include "samphirebank/replication/replication.h"
 #include "samphirebank/lease/lease.h"
 #include "samphirebank/net/net.h"
 
 namespace samphirebank::control {
 
+using replication::ProposalResult;
+using replication::Voter;
+
 // CallKind says what an operator asks for.
 enum class CallKind : uint8_t {
   kRejected,  // `rejection` is the answer
--- a/samphirebank/control/internal/server.h
+++ b/samphirebank/control/internal/server.h
@@ -6,6 +6,8 @@
 #define SAMPHIREBANK_CONTROL_INTERNAL_SERVER_H_
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,9 +18,9 @@
 #include "samphirebank/control/internal/metrics.h"
 #include "samphirebank/control/internal/operator_api.h"
 #include "samphirebank/control/internal/replicated_state.h"
-#include "samphirebank/control/internal/replication.h"
 #include "samphirebank/lease/lease.h"
 #include "samphirebank/net/net.h"
+#include "samphirebank/replication/replication.h"
 #include "samphirebank/settings/settings.h"
 #include "samphirebank/wire/wire.h"
 
@@ -36,12 +38,18 @@
 
  private:
   // Set-up.
-  ReplicationHooks MakeHooks();
+  replication::Options ReplicationOptions() const;
+  replication::Hooks MakeHooks();
   void OpenPorts();
   void StartTimers();
 
   // Replicated log.
-  Applied ApplyOne(const std::string& entry);
+  // ProposalDone receives the result; `applied` has a value for kCommitted,
+  // unless so much was applied since that the result is no longer kept.
+  using ProposalDone =
+      std::function<void(ProposalResult result, const Applied& applied)>;
+  void Propose(std::string entry, ProposalDone done);
+  void ApplyOne(LogIndex index, const std::string& entry);
   void Restore(const std::string& bytes);
   void OnLeadership();
   void Fail(const std::string& reason);
@@ -92,7 +100,8 @@
   lease::PieceLimit pieces;
   assignment::Wanted wanted;
   std::unique_ptr<net::PeerSocket> peers;
-  std::unique_ptr<Replication> replication;
+  std::unique_ptr<replication::Replication> replication;
+  std::map<LogIndex, Applied> results;  // of the newest applied entries
   uint16_t operator_port = 0;
   bool led = false;
   TimePoint leads_since;
--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -29,6 +30,7 @@
 constexpr Duration kOwnerSilence = seconds(10);
 constexpr Duration kClaimsTickEvery = seconds(60);
 constexpr size_t kReportLimit = 64;
+constexpr size_t kKeptResults = 8192;
 constexpr size_t kPeerHints = 3;
 
 uint64_t RandomNumber() {
@@ -88,15 +90,27 @@
                 .file = given.log_file});
   events::Log({.number = events::Number::kProcessStarted});
   this->OpenPorts();
-  this->replication =
-      MakeConsensusReplication(this->loop, this->settings, this->MakeHooks());
+  this->replication = replication::MakeReplication(this->ReplicationOptions(),
+                                                   this->MakeHooks());
   this->StartTimers();
 }
 
-ReplicationHooks Server::MakeHooks() {
+replication::Options Server::ReplicationOptions() const {
+  replication::Options options{.self = this->settings.identity.instance,
+                               .data_folder = this->settings.data_folder};
+  for (const settings::ControlMember& member : this->settings.members) {
+    options.peers.push_back(member.instance);
+  }
+  if (this->settings.bootstrap) options.founders = options.peers;
+  return options;
+}
+
+replication::Hooks Server::MakeHooks() {
   return {
       .apply =
-          [this](const std::string& entry) { return this->ApplyOne(entry); },
+          [this](LogIndex index, const std::string& entry) {
+            this->ApplyOne(index, entry);
+          },
       .snapshot = [this] { return EncodeState(this->state); },
       .restore = [this](const std::string& bytes) { this->Restore(bytes); },
       .send =
@@ -104,7 +118,11 @@
             this->SendToMember(to, packet);
           },
       .on_leadership = [this] { this->OnLeadership(); },
-      .on_failure = [this](const std::string& reason) { this->Fail(reason); }};
+      .on_failure = [this](const std::string& reason) { this->Fail(reason); },
+      .after =
+          [this](Duration delay, std::function<void()> action) {
+            this->loop.After(delay, std::move(action));
+          }};
 }
 
 void Server::OpenPorts() {
@@ -137,15 +155,30 @@
   this->loop.Every(kWatchPeriod, [this] { this->WatchInstances(); });
 }
 
-Applied Server::ApplyOne(const std::string& entry) {
-  Applied applied = ApplyEntry(this->state, entry);
+void Server::Propose(std::string entry, ProposalDone done) {
+  std::vector<std::string> entries;
+  entries.push_back(std::move(entry));
+  this->replication->Propose(
+      std::move(entries), [this, done = std::move(done)](ProposalResult result,
+                                                         LogIndex last) {
+        const auto found = this->results.extract(last);
+        const bool kept =
+            result == ProposalResult::kCommitted && !found.empty();
+        done(result, kept ? found.mapped() : Applied());
+      });
+}
+
+void Server::ApplyOne(LogIndex index, const std::string& entry) {
+  this->results[index] = ApplyEntry(this->state, entry);
+  if (this->results.size() > kKeptResults) {
+    this->results.erase(this->results.begin());
+  }
   const contracts::History& history = this->state.contracts.history;
   Revision& known = this->holder.history.configuration.revision;
   if (known < history.configuration.revision) {
     known = history.configuration.revision;
     NoteApplied(this->in_force, known, net::Loop::Now());
   }
-  return applied;
 }
 
 void Server::Restore(const std::string& bytes) {
@@ -287,7 +320,7 @@
 }
 
 void Server::ProposeClaim(const claims::Command& command) {
-  this->replication->Propose(
+  this->Propose(
       ClaimsEntry(command),
       [this](ProposalResult result, const Applied& applied) {
         const auto* reply = std::get_if<claims::ClaimReply>(&applied);
@@ -378,7 +411,7 @@
                  .region = assign.pool.region,
                  .peer = assign.assignment.holder,
                  .epoch = assign.assignment.epoch});
-    this->replication->Propose(ContractsEntry(command),
+    this->Propose(ContractsEntry(command),
                                [](ProposalResult, const Applied&) {});
   }
 }
--- a/samphirebank/control/server_operators.cc
+++ b/samphirebank/control/server_operators.cc
@@ -94,7 +94,7 @@
   const bool repeated =
       contracts::RememberedOutcome(this->state.contracts, call.command)
           .has_value();
-  this->replication->Propose(
+  this->Propose(
       ContractsEntry(call.command),
       [this, stream, call, repeated](ProposalResult result,
                                      const Applied& applied) {
--- a/samphirebank/control/internal/consensus_replication.h
+++ b/samphirebank/replication/internal/member.h
@@ -1,9 +1,8 @@
-// File: consensus_replication.h
+// File: member.h
 //
-// The replicated log by consensus and storage, on the loop. Disk syncs are
-// shared by all writes that were queued in one turn of the loop.
-#ifndef SAMPHIREBANK_CONTROL_INTERNAL_CONSENSUS_REPLICATION_H_
-#define SAMPHIREBANK_CONTROL_INTERNAL_CONSENSUS_REPLICATION_H_
+// One member of the replicated log, by consensus and storage.
+#ifndef SAMPHIREBANK_REPLICATION_INTERNAL_MEMBER_H_
+#define SAMPHIREBANK_REPLICATION_INTERNAL_MEMBER_H_
 
 #include <cstdint>
 #include <functional>
@@ -14,22 +13,22 @@
 #include <vector>
 
 #include "samphirebank/consensus/consensus.h"
-#include "samphirebank/control/internal/replication.h"
+#include "samphirebank/replication/internal/upkeep.h"
+#include "samphirebank/replication/replication.h"
 #include "samphirebank/storage/storage.h"
 
-namespace samphirebank::control {
+namespace samphirebank::replication {
 
-// ConsensusReplication is one member of the control group.
-class ConsensusReplication : public Replication {
+// Member is one member of the group.
+class Member : public Replication {
  public:
-  ConsensusReplication(net::Loop& event_loop,
-                       const settings::ControlSettings& given,
-                       ReplicationHooks shell);
+  Member(Options given, Hooks shell);
 
-  void Propose(std::string entry, ProposalDone done) override;
+  void Propose(std::vector<std::string> entries, ProposalDone done) override;
   void Confirm(RoundDone done) override;
   void Replace(const InstanceId& instance, ReplaceDone done) override;
   void OnMessage(const wire::Opened& opened) override;
+  void AddPeers(const std::vector<InstanceId>& more) override;
 
   bool leads() const override {
     return this->state.role == consensus::Role::kLeader;
@@ -44,6 +43,7 @@
     return consensus::LastIndex(this->state);
   }
   std::vector<Voter> voters() const override;
+  std::vector<InstanceId> members() const override;
 
  private:
   // Replacement is one running Replace.
@@ -61,6 +61,9 @@
   using MembershipDone = std::function<void(consensus::Outcome)>;
 
   void OpenStorage();
+  void StartTicking();
+  void Tick();
+  void KeepUpMembership(TimePoint now);
   void Step(const consensus::Event& event);
   void Perform(consensus::Actions actions);
   void Apply(const std::vector<consensus::Entry>& entries);
@@ -75,22 +78,24 @@
   void Admit(const std::shared_ptr<Replacement>& replacement);
   void Swap(const std::shared_ptr<Replacement>& replacement);
 
-  net::Loop& loop;
-  settings::ControlSettings settings;
-  ReplicationHooks hooks;
+  Options options;
+  Hooks hooks;
   std::unique_ptr<storage::Files> files;
   std::unique_ptr<storage::Storage> disk;
   consensus::State state;
   LogIndex applied;
-  std::map<LogIndex, Applied> results;  // of the newest applied entries
   uint64_t next_tag = 1;
   std::map<consensus::ProposalTag, Proposal> proposals;
   std::map<consensus::ProposalTag, MembershipDone> changes;
   std::map<consensus::RoundTag, RoundDone> rounds;
   bool flush_scheduled = false;
   bool disk_full = false;
+  std::map<consensus::MemberId, TimePoint> heard;
+  TimePoint leads_since;
+  TimePoint next_upkeep;
+  bool changing = false;  // a change of the membership is under way
 };
 
-}  // namespace samphirebank::control
+}  // namespace samphirebank::replication
 
-#endif  // SAMPHIREBANK_CONTROL_INTERNAL_CONSENSUS_REPLICATION_H_
+#endif  // SAMPHIREBANK_REPLICATION_INTERNAL_MEMBER_H_
--- a/samphirebank/control/consensus_replication.cc
+++ b/samphirebank/replication/member.cc
@@ -1,4 +1,4 @@
-#include "samphirebank/control/internal/consensus_replication.h"
+#include "samphirebank/replication/internal/member.h"
 
 #include <sodium.h>
 
@@ -18,20 +18,18 @@
 #include "samphirebank/events/events.h"
 #include "samphirebank/storage/storage.h"
 
-namespace samphirebank::control {
+namespace samphirebank::replication {
 namespace {
 
 using consensus::MemberId;
 using std::chrono::milliseconds;
 
-constexpr Duration kTickPeriod = milliseconds(20);
-// Short enough that a new leader's first lease reaches routers before the old
-// leader's last one ends.
-constexpr Duration kElectionTimeout = milliseconds(750);
 constexpr Duration kFullRetry = milliseconds(500);
-constexpr size_t kKeptResults = 8192;
 // A proposal is decided by then, unless a quorum or its disks are lost.
 constexpr Duration kDecisionLimit = std::chrono::seconds(2);
+constexpr Duration kUpkeepPeriod = milliseconds(200);
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
 
 uint64_t RandomNumber() {
   uint64_t number = 0;
@@ -77,24 +75,52 @@
   }
 }
 
+void LogChange(const consensus::MembershipChange& change) {
+  switch (change.kind) {
+    case consensus::ChangeKind::kAddLearner:
+      break;  // it counts only with a vote
+    case consensus::ChangeKind::kPromote:
+      events::Log({.number = events::Number::kMemberAdded,
+                   .peer = change.member.instance});
+      break;
+    case consensus::ChangeKind::kReplace:
+      events::Log({.number = events::Number::kMemberAdded,
+                   .peer = change.replacement.instance,
+                   .detail = "in place of " + change.member.instance.value});
+      break;
+    default:
+      events::Log({.number = events::Number::kMemberRemoved,
+                   .peer = change.member.instance});
+  }
+}
+
 }  // namespace
 
-ConsensusReplication::ConsensusReplication(
-    net::Loop& event_loop, const settings::ControlSettings& given,
-    ReplicationHooks shell)
-    : loop(event_loop), settings(given), hooks(std::move(shell)) {
+Member::Member(Options given, Hooks shell)
+    : options(std::move(given)), hooks(std::move(shell)) {
   this->OpenStorage();
-  this->loop.Every(kTickPeriod, [this] {
-    this->TryBootstrap();
-    this->Step(consensus::Tick{});
-    this->GiveUpProposals(net::Loop::Now());
+  this->StartTicking();
+}
+
+void Member::StartTicking() {
+  this->hooks.after(this->options.tick, [this] {
+    this->Tick();
+    this->StartTicking();
   });
 }
 
-void ConsensusReplication::OpenStorage() {
-  const InstanceId& self = this->settings.identity.instance;
+void Member::Tick() {
+  const TimePoint now = Now();
+  this->TryBootstrap();
+  this->Step(consensus::Tick{});
+  this->GiveUpProposals(now);
+  this->KeepUpMembership(now);
+}
+
+void Member::OpenStorage() {
+  const InstanceId& self = this->options.self;
   this->files = ValueOrThrow(
-      [&] { return storage::OpenFolder(this->settings.data_folder); });
+      [&] { return storage::OpenFolder(this->options.data_folder); });
   this->disk = ValueOrThrow([&] {
     return storage::Storage::Open(
         *this->files, {.instance = self,
@@ -114,21 +140,22 @@
     this->hooks.restore(*recovered.snapshot->data);
     this->applied = recovered.snapshot->head.index;
   }
-  consensus::Options options{.self = this->disk->self(),
-                             .seed = RandomNumber(),
-                             .election_timeout = kElectionTimeout};
-  for (const settings::ControlMember& member : this->settings.members) {
-    if (member.instance != self) options.peers.push_back(member.instance);
+  consensus::Options member{.self = this->disk->self(),
+                            .seed = RandomNumber(),
+                            .election_timeout = this->options.election_timeout,
+                            .announce_interval =
+                                this->options.announce_interval};
+  for (const InstanceId& peer : this->options.peers) {
+    if (peer != self) member.peers.push_back(peer);
   }
-  this->state = consensus::Start(std::move(options), std::move(recovered),
-                                 net::Loop::Now());
+  this->state = consensus::Start(std::move(member), std::move(recovered), Now());
 }
 
-void ConsensusReplication::Step(const consensus::Event& event) {
-  this->Perform(consensus::Step(this->state, event, net::Loop::Now()));
+void Member::Step(const consensus::Event& event) {
+  this->Perform(consensus::Step(this->state, event, Now()));
 }
 
-void ConsensusReplication::Perform(consensus::Actions actions) {
+void Member::Perform(consensus::Actions actions) {
   if (actions.persist) {
     this->disk->Enqueue(std::move(*actions.persist));
     this->ScheduleFlush(Duration(0));
@@ -142,7 +169,10 @@
     events::Log({.number = events::Number::kSnapshotInstalled});
   }
   this->Apply(actions.committed);
-  if (actions.leadership) this->hooks.on_leadership();
+  if (actions.leadership) {
+    if (actions.leadership->is_self) this->leads_since = Now();
+    this->hooks.on_leadership();
+  }
   for (const consensus::ProposalAnswer& answer : actions.answers) {
     this->Answer(answer);
   }
@@ -151,48 +181,41 @@
     if (!found.empty()) found.mapped()(round.confirmed, round.started_at);
   }
   if (actions.take_snapshot) {
-    this->loop.After(Duration(0), [this] { this->TakeSnapshot(); });
+    this->hooks.after(Duration(0), [this] { this->TakeSnapshot(); });
   }
 }
 
-void ConsensusReplication::Apply(const std::vector<consensus::Entry>& entries) {
+void Member::Apply(const std::vector<consensus::Entry>& entries) {
   for (const consensus::Entry& entry : entries) {
     this->applied = entry.index;
     if (entry.kind != consensus::EntryKind::kCommand) continue;
-    this->results[entry.index] = this->hooks.apply(entry.payload);
-    if (this->results.size() > kKeptResults) {
-      this->results.erase(this->results.begin());
-    }
+    this->hooks.apply(entry.index, entry.payload);
   }
 }
 
-void ConsensusReplication::Answer(const consensus::ProposalAnswer& answer) {
+void Member::Answer(const consensus::ProposalAnswer& answer) {
   auto change = this->changes.extract(answer.tag);
   if (!change.empty()) return change.mapped()(answer.outcome);
   auto proposal = this->proposals.extract(answer.tag);
   if (proposal.empty()) return;
-  auto result = this->results.extract(answer.first_index);
-  const bool has_result =
-      answer.outcome == consensus::Outcome::kCommitted && !result.empty();
-  proposal.mapped().done(ResultOf(answer.outcome),
-                         has_result ? result.mapped() : Applied());
+  proposal.mapped().done(ResultOf(answer.outcome), answer.last_index);
 }
 
-void ConsensusReplication::GiveUpProposals(TimePoint now) {
+void Member::GiveUpProposals(TimePoint now) {
   while (!this->proposals.empty() &&
          this->proposals.begin()->second.give_up <= now) {
     auto oldest = this->proposals.extract(this->proposals.begin());
-    oldest.mapped().done(ProposalResult::kUnknown, Applied());
+    oldest.mapped().done(ProposalResult::kUnknown, LogIndex());
   }
 }
 
-void ConsensusReplication::ScheduleFlush(Duration delay) {
+void Member::ScheduleFlush(Duration delay) {
   if (this->flush_scheduled) return;
   this->flush_scheduled = true;
-  this->loop.After(delay, [this] { this->Flush(); });
+  this->hooks.after(delay, [this] { this->Flush(); });
 }
 
-void ConsensusReplication::Flush() {
+void Member::Flush() {
   this->flush_scheduled = false;
   std::string failure;
   const auto flushed = wire::leaf::try_handle_all(
@@ -219,49 +242,66 @@
   this->Step(consensus::Persisted{.ticket = flushed->synced});
 }
 
-void ConsensusReplication::TakeSnapshot() {
-  const TimePoint begin = net::Loop::Now();
+void Member::TakeSnapshot() {
+  const TimePoint begin = Now();
   auto data = std::make_shared<const std::string>(this->hooks.snapshot());
   events::Log({.number = events::Number::kSnapshotWritten,
                .bytes = Bytes(static_cast<int64_t>(data->size())),
-               .duration = net::Loop::Now() - begin});
+               .duration = Now() - begin});
   this->Step(consensus::SnapshotTaken{.index = this->applied,
                                       .data = std::move(data)});
 }
 
-void ConsensusReplication::TryBootstrap() {
-  if (!this->settings.bootstrap) return;
+void Member::TryBootstrap() {
+  if (this->options.founders.empty()) return;
   const auto& current = consensus::CurrentMembership(this->state);
   if (!current.membership.voters.empty()) return;
   std::set<MemberId> voters;
-  for (const settings::ControlMember& member : this->settings.members) {
-    if (member.instance == this->state.options.self.instance) {
+  for (const InstanceId& founder : this->options.founders) {
+    if (founder == this->options.self) {
       voters.insert(this->state.options.self);
       continue;
     }
-    const auto found = this->state.announced.find(member.instance);
+    const auto found = this->state.announced.find(founder);
     if (found == this->state.announced.end()) return;
     voters.insert(found->second);
   }
   this->Step(consensus::Bootstrap{.voters = std::move(voters)});
 }
 
-void ConsensusReplication::Propose(std::string entry, ProposalDone done) {
+void Member::KeepUpMembership(TimePoint now) {
+  if (this->options.voters_wanted == 0 || now < this->next_upkeep) return;
+  this->next_upkeep = now + kUpkeepPeriod;
+  if (!this->leads() || this->changing) return;
+  const auto change = PlanUpkeep(
+      {.membership = consensus::CurrentMembership(this->state).membership,
+       .self = this->state.options.self,
+       .heard = this->heard,
+       .leads_since = this->leads_since},
+      {.voters_wanted = this->options.voters_wanted}, now);
+  if (!change) return;
+  this->changing = true;
+  this->ChangeMembership(*change, [this, change](consensus::Outcome outcome) {
+    this->changing = false;
+    if (outcome != consensus::Outcome::kCommitted) return;
+    LogChange(*change);
+  });
+}
+
+void Member::Propose(std::vector<std::string> entries, ProposalDone done) {
   const consensus::ProposalTag tag(this->next_tag++);
   this->proposals[tag] = {.done = std::move(done),
-                          .give_up = net::Loop::Now() + kDecisionLimit};
-  consensus::Propose event{.tag = tag};
-  event.commands.push_back(std::move(entry));
-  this->Step(event);
+                          .give_up = Now() + kDecisionLimit};
+  this->Step(consensus::Propose{.tag = tag, .commands = std::move(entries)});
 }
 
-void ConsensusReplication::Confirm(RoundDone done) {
+void Member::Confirm(RoundDone done) {
   const consensus::RoundTag tag(this->next_tag++);
   this->rounds[tag] = std::move(done);
   this->Step(consensus::ConfirmLeadership{.tag = tag});
 }
 
-void ConsensusReplication::OnMessage(const wire::Opened& opened) {
+void Member::OnMessage(const wire::Opened& opened) {
   auto message = wire::leaf::try_handle_all(
       [&]() -> wire::leaf::result<std::optional<consensus::Message>> {
         BOOST_LEAF_AUTO(decoded,
@@ -270,10 +310,11 @@
       },
       [] { return std::optional<consensus::Message>(); });
   if (!message || message->from.instance != opened.from) return;
+  this->heard[message->from] = Now();
   this->Step(consensus::Received{.message = std::move(*message)});
 }
 
-std::vector<Voter> ConsensusReplication::voters() const {
+std::vector<Voter> Member::voters() const {
   std::vector<Voter> voters;
   for (const MemberId& member :
        consensus::CurrentMembership(this->state).membership.voters) {
@@ -283,11 +324,28 @@
   return voters;
 }
 
-std::unique_ptr<Replication> MakeConsensusReplication(
-    net::Loop& loop, const settings::ControlSettings& settings,
-    ReplicationHooks hooks) {
-  return std::make_unique<ConsensusReplication>(loop, settings,
-                                                std::move(hooks));
+std::vector<InstanceId> Member::members() const {
+  const consensus::Membership& membership =
+      consensus::CurrentMembership(this->state).membership;
+  std::vector<InstanceId> members;
+  for (const auto* set :
+       {&membership.voters, &membership.outgoing, &membership.learners}) {
+    for (const MemberId& member : *set) members.push_back(member.instance);
+  }
+  return members;
+}
+
+void Member::AddPeers(const std::vector<InstanceId>& more) {
+  std::vector<InstanceId>& peers = this->state.options.peers;
+  for (const InstanceId& peer : more) {
+    const bool known = peer == this->options.self ||
+                       std::ranges::find(peers, peer) != peers.end();
+    if (!known) peers.push_back(peer);
+  }
+}
+
+std::unique_ptr<Replication> MakeReplication(Options options, Hooks hooks) {
+  return std::make_unique<Member>(std::move(options), std::move(hooks));
 }
 
-}  // namespace samphirebank::control
+}  // namespace samphirebank::replication
--- a/samphirebank/control/member_replacement.cc
+++ b/samphirebank/replication/replacement.cc
@@ -4,10 +4,10 @@
 #include <string>
 #include <utility>
 
-#include "samphirebank/control/internal/consensus_replication.h"
+#include "samphirebank/replication/internal/member.h"
 #include "samphirebank/events/events.h"
 
-namespace samphirebank::control {
+namespace samphirebank::replication {
 namespace {
 
 using consensus::MemberId;
@@ -15,6 +15,8 @@
 constexpr Duration kReplaceRetry = std::chrono::milliseconds(200);
 constexpr Duration kReplaceLimit = std::chrono::seconds(60);
 
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
 // ShouldRetry tells whether a membership change may succeed later.
 bool ShouldRetry(consensus::Outcome outcome) {
   switch (outcome) {
@@ -47,14 +49,14 @@
 
 }  // namespace
 
-void ConsensusReplication::ChangeMembership(
+void Member::ChangeMembership(
     const consensus::MembershipChange& change, MembershipDone done) {
   const consensus::ProposalTag tag(this->next_tag++);
   this->changes[tag] = std::move(done);
   this->Step(consensus::ProposeMembership{.tag = tag, .change = change});
 }
 
-void ConsensusReplication::Replace(const InstanceId& instance,
+void Member::Replace(const InstanceId& instance,
                                    ReplaceDone done) {
   if (!this->leads()) return done("this instance does not lead");
   const auto& voting =
@@ -70,11 +72,11 @@
   this->Admit(std::make_shared<Replacement>(
       Replacement{.lost = *lost,
                   .found = found->second,
-                  .give_up = net::Loop::Now() + kReplaceLimit,
+                  .give_up = Now() + kReplaceLimit,
                   .done = std::move(done)}));
 }
 
-void ConsensusReplication::Admit(
+void Member::Admit(
     const std::shared_ptr<Replacement>& replacement) {
   const auto& current = consensus::CurrentMembership(this->state);
   if (current.membership.learners.contains(replacement->found)) {
@@ -87,15 +89,15 @@
         if (outcome == consensus::Outcome::kCommitted) {
           return this->Swap(replacement);
         }
-        if (!ShouldRetry(outcome) || net::Loop::Now() > replacement->give_up) {
+        if (!ShouldRetry(outcome) || Now() > replacement->give_up) {
           return replacement->done(FailureText(outcome));
         }
-        this->loop.After(kReplaceRetry,
+        this->hooks.after(kReplaceRetry,
                          [this, replacement] { this->Admit(replacement); });
       });
 }
 
-void ConsensusReplication::Swap(
+void Member::Swap(
     const std::shared_ptr<Replacement>& replacement) {
   this->ChangeMembership(
       {.kind = consensus::ChangeKind::kReplace,
@@ -107,12 +109,12 @@
                        .peer = replacement->found.instance});
           return replacement->done("");
         }
-        if (!ShouldRetry(outcome) || net::Loop::Now() > replacement->give_up) {
+        if (!ShouldRetry(outcome) || Now() > replacement->give_up) {
           return replacement->done(FailureText(outcome));
         }
-        this->loop.After(kReplaceRetry,
+        this->hooks.after(kReplaceRetry,
                          [this, replacement] { this->Swap(replacement); });
       });
 }
 
-}  // namespace samphirebank::control
+}  // namespace samphirebank::replication
