--- a/samphirebank/app/main.cc
+++ b/samphirebank/app/main.cc
@@ -10,10 +10,13 @@
 #include <string_view>
 #include <vector>
 
+#include "platform/platform.h"
 #include "samphirebank/contracts/contracts.h"
 #include "samphirebank/control/control.h"
+#include "samphirebank/coordinator/coordinator.h"
 #include "samphirebank/emulator/emulator.h"
 #include "samphirebank/events/events.h"
+#include "samphirebank/gateway/gateway.h"
 #include "samphirebank/operators/operators.h"
 #include "samphirebank/router/router.h"
 #include "samphirebank/settings/settings.h"
@@ -63,6 +66,25 @@
       control::RunControl);
 }
 
+int Gateway(const Arguments& arguments, const Environment& environment) {
+  const dialect::Dialect dialect = platform::MakeDialect();
+  return RunWith<settings::GatewaySettings>(
+      settings::ParseGateway(arguments, environment), settings::GatewayHelp(),
+      [&](const settings::GatewaySettings& settings) {
+        return gateway::RunGateway(settings, dialect);
+      });
+}
+
+int Coordinator(const Arguments& arguments, const Environment& environment) {
+  const dialect::Dialect dialect = platform::MakeDialect();
+  return RunWith<settings::CoordinatorSettings>(
+      settings::ParseCoordinator(arguments, environment),
+      settings::CoordinatorHelp(),
+      [&](const settings::CoordinatorSettings& settings) {
+        return coordinator::RunCoordinator(settings, dialect);
+      });
+}
+
 Subcommand OperatorCommand(std::vector<std::string> words, std::string summary,
                            settings::OperatorVerb verb) {
   return {.words = std::move(words),
@@ -144,6 +166,11 @@
   AddOperatorCommands(&table);
   table.push_back({{"router"}, "run an entry instance", Router});
   table.push_back({{"control"}, "run a control instance", Control});
+  table.push_back(
+      {{"gateway"}, "run an entry instance that forwards by routes", Gateway});
+  table.push_back({{"coordinator"},
+                   "run a control instance that keeps the route table",
+                   Coordinator});
   table.push_back({{"timeline"}, "merge the logs of processes", Timeline});
   table.push_back({{"emulator"}, "run stand-in targets", Emulator});
   table.push_back({{"load"}, "send requests and count answers", Load});
@@ -169,13 +196,21 @@
   return text;
 }
 
+// OwnEnvironment is the process's environment without what the platform sets
+// for purposes of its own.
+Environment OwnEnvironment() {
+  Environment environment = settings::ProcessEnvironment();
+  environment.variables.erase(platform::kSettingsFileVariable);
+  return environment;
+}
+
 int RunSubcommand(const Arguments& words) {
   const std::vector<Subcommand> table = Subcommands();
   for (const Subcommand& command : table) {
     if (!StartsWith(words, command.words)) continue;
     const auto rest = static_cast<std::ptrdiff_t>(command.words.size());
     return command.run(Arguments(words.begin() + rest, words.end()),
-                       settings::ProcessEnvironment());
+                       OwnEnvironment());
   }
   if (words == Arguments{"--help"}) {
     std::cout << UsageText(table);
--- /dev/null
+++ b/samphirebank/coordinator/internal/server.h
@@ -0,0 +1,132 @@
+// File: server.h
+//
+// The coordinator's shell: it joins the loop, the replicated log, the
+// directory and the links to gateways and other coordinators.
+#ifndef SAMPHIREBANK_COORDINATOR_INTERNAL_SERVER_H_
+#define SAMPHIREBANK_COORDINATOR_INTERNAL_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "samphirebank/coordinator/internal/document.h"
+#include "samphirebank/dialect/dialect.h"
+#include "samphirebank/directory/directory.h"
+#include "samphirebank/follow/follow.h"
+#include "samphirebank/link/link.h"
+#include "samphirebank/metrics/metrics.h"
+#include "samphirebank/replication/replication.h"
+#include "samphirebank/settings/settings.h"
+#include "samphirebank/web/web.h"
+
+namespace samphirebank::coordinator {
+
+// Metrics of one coordinator.
+struct Metrics {
+  metrics::Registry registry{};
+  metrics::Gauge& leads;
+  metrics::Gauge& term;
+  metrics::Gauge& voters;
+  metrics::Gauge& table_version;
+  metrics::Gauge& targets;
+  metrics::Gauge& followers;
+  metrics::Gauge& disk_full;
+  metrics::Counter& heartbeats;
+  metrics::Counter& heartbeats_refused;
+  metrics::Counter& tables_accepted;
+  metrics::Counter& tables_refused;
+  metrics::Histogram& commit_time;
+
+  Metrics();
+};
+
+// Server is one coordinator. It belongs to the loop's thread.
+class Server {
+ public:
+  // Throws std::runtime_error if an address cannot be bound or the data folder
+  // cannot be used.
+  Server(boost::asio::io_context& event_loop,
+         const settings::CoordinatorSettings& given,
+         const dialect::Dialect& adapter);
+
+  // failed says whether the instance had to stop.
+  bool failed() const { return this->has_failed; }
+
+ private:
+  // FollowerRecord is an instance that polls this one.
+  struct FollowerRecord {
+    directory::Cursor cursor{};
+    routes::TableVersion table{};
+    TimePoint polled_at{};
+    TimePoint table_sent_at{};
+    routes::TableVersion table_sent{};
+    bool is_gateway = true;
+  };
+
+  replication::Options ReplicationOptions() const;
+  replication::Hooks MakeHooks();
+  void StartTimer();
+  void Tick();
+  void After(Duration delay, std::function<void()> action);
+
+  // Replicated log.
+  void Apply(const std::string& entry);
+  void Restore(const std::string& bytes);
+  void TakeDocument();
+  void OnLeadership();
+  void Fail(const std::string& reason);
+
+  // Other instances.
+  net::SocketAddress PeerAddress(const InstanceId& instance) const;
+  void OnPacket(const wire::Opened& opened);
+  void OnPoll(const InstanceId& from, const follow::Poll& poll);
+  void OnUpdate(const InstanceId& from, const follow::Update& update);
+  void SendUpdate(const InstanceId& to, const FollowerRecord& record);
+  void SendTable(const InstanceId& to, FollowerRecord& record, TimePoint now);
+  void PushUpdates();
+  void PushTable();
+  uint32_t GatewayCount(TimePoint now) const;
+
+  // Orders.
+  void OnRequest(const web::Request& request, const web::Reply& reply);
+  void Put(const routes::RouteTable& table, const std::string& text,
+           const web::Reply& reply);
+  void FinishPut(routes::TableVersion version, TimePoint begun,
+                 replication::ProposalResult result, const web::Reply& reply);
+  void Get(const web::Reply& reply);
+  void TakeHeartbeat(const directory::Announcement& announcement,
+                     const web::Reply& reply);
+  void TakeSignOff(const TargetId& target, const web::Reply& reply);
+  // Redirect names the leader, or asks to come back.
+  void Redirect(const web::Reply& reply) const;
+  bool IsCutOff(TimePoint now) const;
+  web::Answer MetricsText();
+
+  boost::asio::io_context& loop;
+  settings::CoordinatorSettings settings;
+  const dialect::Dialect& dialect;
+  InstanceId self;  // by its IP number
+  BootId boot;
+  DocumentState document;
+  routes::RouteTable table;  // of the newest document
+  directory::Directory directory;
+  follow::Follower others;  // coordinators, to find the group
+  std::map<InstanceId, FollowerRecord> followers;
+  std::unique_ptr<link::Link> peers;
+  std::unique_ptr<replication::Replication> replication;
+  std::unique_ptr<web::Server> control_server;
+  std::unique_ptr<web::Server> metrics_server;
+  boost::asio::steady_timer timer;
+  TimePoint leader_known_at;
+  bool led = false;
+  bool has_failed = false;
+  Metrics metrics;
+};
+
+}  // namespace samphirebank::coordinator
+
+#endif  // SAMPHIREBANK_COORDINATOR_INTERNAL_SERVER_H_
--- /dev/null
+++ b/samphirebank/coordinator/orders.cc
@@ -0,0 +1,224 @@
+// What operators and targets ask of a coordinator.
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "samphirebank/coordinator/internal/server.h"
+#include "samphirebank/events/events.h"
+
+namespace samphirebank::coordinator {
+namespace {
+
+using replication::ProposalResult;
+using std::chrono::milliseconds;
+
+constexpr char kRetryAfter[] = "0.3";  // seconds
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+web::Answer Json(int status, std::string body) {
+  return {.status = status,
+          .headers = {{"content-type", "application/json"}},
+          .body = std::move(body)};
+}
+
+web::Answer Text(int status, std::string body) {
+  return {.status = status,
+          .headers = {{"content-type", "text/plain"}},
+          .body = std::move(body)};
+}
+
+web::Answer ComeBack(const std::string& reason) {
+  web::Answer answer = Text(503, reason + "\n");
+  answer.headers.push_back({"retry-after", kRetryAfter});
+  return answer;
+}
+
+std::string_view ReasonOf(ProposalResult result) {
+  switch (result) {
+    case ProposalResult::kCommitted:
+      return "committed";
+    case ProposalResult::kNotLeader:
+      return "not-leader";
+    case ProposalResult::kRefused:
+      return "busy";
+    case ProposalResult::kFull:
+      return "disk-full";
+    case ProposalResult::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+void Server::OnRequest(const web::Request& request, const web::Reply& reply) {
+  dialect::DecodedOrder decoded =
+      this->dialect.decode_order({.method = request.method,
+                                  .path = request.target,
+                                  .body = request.body});
+  const auto* beat = std::get_if<dialect::Heartbeat>(&decoded.order);
+  if (!decoded.findings.empty()) {
+    events::Log({.number = beat != nullptr ? events::Number::kTargetRefused
+                                           : events::Number::kTableRefused,
+                 .status = 400,
+                 .reason = "invalid",
+                 .detail = decoded.findings.ToText().substr(0, 500)});
+    (beat != nullptr ? this->metrics.heartbeats_refused
+                     : this->metrics.tables_refused)
+        .Add(1);
+    return reply(Text(400, decoded.findings.ToText()));
+  }
+  if (beat != nullptr) return this->TakeHeartbeat(beat->announcement, reply);
+  if (const auto* off = std::get_if<dialect::SignOff>(&decoded.order)) {
+    return this->TakeSignOff(off->target, reply);
+  }
+  if (const auto* put = std::get_if<dialect::PutTable>(&decoded.order)) {
+    return this->Put(put->table, request.body, reply);
+  }
+  if (std::holds_alternative<dialect::GetTable>(decoded.order)) {
+    return this->Get(reply);
+  }
+  reply(Text(404, "there is no such call\n"));
+}
+
+void Server::Put(const routes::RouteTable& new_table, const std::string& text,
+                 const web::Reply& reply) {
+  const routes::TableVersion version = new_table.version;
+  // A version that was overtaken is durable as such: it changes nothing.
+  if (version <= this->document.newest.version) return reply(Json(200, "{}"));
+  if (!this->replication->leads()) return this->Redirect(reply);
+  const TimePoint begun = Now();
+  this->replication->Propose(
+      EntriesOf({.version = version, .text = text}),
+      [this, version, begun, reply](ProposalResult result, LogIndex) {
+        this->FinishPut(version, begun, result, reply);
+      });
+}
+
+void Server::FinishPut(routes::TableVersion version, TimePoint begun,
+                       ProposalResult result, const web::Reply& reply) {
+  const Duration took = Now() - begun;
+  if (result == ProposalResult::kCommitted) {
+    this->metrics.tables_accepted.Add(1);
+    this->metrics.commit_time.Record(took);
+    events::Log({.number = events::Number::kTableAccepted,
+                 .revision = Revision(version.value),
+                 .duration = took});
+    return reply(Json(200, "{}"));
+  }
+  this->metrics.tables_refused.Add(1);
+  events::Log({.number = events::Number::kTableRefused,
+               .revision = Revision(version.value),
+               .status = 503,
+               .reason = std::string(ReasonOf(result))});
+  if (result == ProposalResult::kNotLeader) return this->Redirect(reply);
+  reply(ComeBack(std::string(ReasonOf(result))));
+}
+
+void Server::Get(const web::Reply& reply) {
+  if (!this->replication->leads()) return this->Redirect(reply);
+  // A round with the quorum makes sure that nothing newer was accepted.
+  this->replication->Confirm([this, reply](bool confirmed, TimePoint) {
+    if (!confirmed) return this->Redirect(reply);
+    const bool none = this->document.newest.version == routes::TableVersion();
+    reply(none ? ComeBack("there is no table yet")
+               : Json(200, this->document.newest.text));
+  });
+}
+
+void Server::Redirect(const web::Reply& reply) const {
+  const auto leader = this->replication->leader();
+  if (!leader || this->replication->leads()) {
+    return reply(ComeBack("no leader is known"));
+  }
+  const net::SocketAddress address{
+      .ip = leader->value, .port = this->settings.control_address.port};
+  web::Answer answer = Text(307, "");
+  answer.headers.push_back(
+      {"location", "http://" + address.ToText() + this->dialect.table_path});
+  reply(answer);
+}
+
+void Server::TakeHeartbeat(const directory::Announcement& announcement,
+                           const web::Reply& reply) {
+  const TimePoint now = Now();
+  if (this->IsCutOff(now)) {
+    return reply(ComeBack("this instance is cut off from the others"));
+  }
+  const directory::Verdict verdict =
+      directory::Hear(this->directory, announcement, now);
+  this->metrics.heartbeats.Add(1);
+  const bool is_new = verdict == directory::Verdict::kNew;
+  const bool leaves = verdict == directory::Verdict::kChanged &&
+                      announcement.state != directory::State::kReady;
+  if (is_new || leaves) {
+    events::Log({.number = is_new ? events::Number::kTargetAnnounced
+                                  : events::Number::kTargetLeaving,
+                 .target = announcement.id,
+                 .service = announcement.service,
+                 .address = announcement.address.ToText(),
+                 .reason = leaves ? "draining" : ""});
+  }
+  if (is_new || verdict == directory::Verdict::kChanged) this->PushUpdates();
+  reply(Json(200, "{}"));
+}
+
+void Server::TakeSignOff(const TargetId& target, const web::Reply& reply) {
+  const TimePoint now = Now();
+  if (this->IsCutOff(now)) {
+    return reply(ComeBack("this instance is cut off from the others"));
+  }
+  if (directory::SignOff(this->directory, target, now)) {
+    events::Log({.number = events::Number::kTargetLeaving,
+                 .target = target,
+                 .reason = "signed off"});
+    this->PushUpdates();
+  }
+  reply(Json(200, "{}"));
+}
+
+Metrics::Metrics()
+    : leads(this->registry.AddGauge(
+          {.name = "leads", .help = "1 on the leader of the control group."})),
+      term(this->registry.AddGauge(
+          {.name = "term", .help = "The term of the control group."})),
+      voters(this->registry.AddGauge(
+          {.name = "voters", .help = "Instances with a vote."})),
+      table_version(this->registry.AddGauge(
+          {.name = "table_version", .help = "The newest route table."})),
+      targets(this->registry.AddGauge(
+          {.name = "targets", .help = "Targets in the directory."})),
+      followers(this->registry.AddGauge(
+          {.name = "gateways", .help = "Gateways that follow."})),
+      disk_full(this->registry.AddGauge(
+          {.name = "disk_full", .help = "1 while the disk takes no more."})),
+      heartbeats(this->registry.AddCounter(
+          {.name = "heartbeats_total", .help = "Targets' signs of life."})),
+      heartbeats_refused(this->registry.AddCounter(
+          {.name = "heartbeats_refused_total",
+           .help = "Signs of life that could not be read."})),
+      tables_accepted(this->registry.AddCounter(
+          {.name = "tables_accepted_total",
+           .help = "Route tables that became durable."})),
+      tables_refused(this->registry.AddCounter(
+          {.name = "tables_refused_total",
+           .help = "Route tables that were refused or are in doubt."})),
+      commit_time(this->registry.AddHistogram(
+          {.name = "commit_seconds",
+           .help = "Time until a route table was durable."},
+          {})) {}
+
+web::Answer Server::MetricsText() {
+  const auto number = [](auto value) { return static_cast<double>(value); };
+  this->metrics.leads.Set(this->replication->leads() ? 1 : 0);
+  this->metrics.term.Set(number(this->replication->term().value));
+  this->metrics.voters.Set(number(this->replication->voters().size()));
+  this->metrics.table_version.Set(number(this->table.version.value));
+  this->metrics.targets.Set(number(this->directory.entries.size()));
+  this->metrics.followers.Set(number(this->GatewayCount(Now())));
+  this->metrics.disk_full.Set(this->replication->disk_is_full() ? 1 : 0);
+  return Text(200, this->metrics.registry.ToText());
+}
+
+}  // namespace samphirebank::coordinator
--- /dev/null
+++ b/samphirebank/coordinator/peers.cc
@@ -0,0 +1,125 @@
+// What a coordinator tells gateways and other coordinators.
+#include <boost/leaf/handle_errors.hpp>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "samphirebank/coordinator/internal/server.h"
+#include "samphirebank/events/events.h"
+
+namespace samphirebank::coordinator {
+namespace {
+
+using std::chrono::milliseconds;
+
+// An instance that polled within this time follows.
+constexpr Duration kFollowing = std::chrono::seconds(3);
+// A table that did not arrive is sent again.
+constexpr Duration kTableResend = milliseconds(400);
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+void Server::OnPacket(const wire::Opened& opened) {
+  wire::leaf::try_handle_all(
+      [&]() -> wire::leaf::result<void> {
+        switch (opened.packet.kind) {
+          case wire::Kind::kConsensus:
+            this->replication->OnMessage(opened);
+            break;
+          case wire::Kind::kFollowPoll: {
+            BOOST_LEAF_AUTO(poll, wire::Decode<follow::Poll>(opened.packet));
+            this->OnPoll(opened.from, poll);
+            break;
+          }
+          case wire::Kind::kFollowUpdate: {
+            BOOST_LEAF_AUTO(update,
+                            wire::Decode<follow::Update>(opened.packet));
+            this->OnUpdate(opened.from, update);
+            break;
+          }
+          default:
+            break;
+        }
+        return {};
+      },
+      [&] {
+        events::Log({.number = events::Number::kPacketRefused,
+                     .peer = opened.from,
+                     .reason = "malformed"});
+      });
+}
+
+void Server::OnPoll(const InstanceId& from, const follow::Poll& poll) {
+  const TimePoint now = Now();
+  FollowerRecord& record = this->followers[from];
+  record.polled_at = now;
+  record.table = poll.table;
+  record.is_gateway = poll.is_gateway;
+  record.cursor = poll.answerer == this->boot ? poll.cursor
+                                              : directory::Cursor(0);
+  this->SendUpdate(from, record);
+  if (poll.is_gateway) this->SendTable(from, record, now);
+}
+
+void Server::SendUpdate(const InstanceId& to, const FollowerRecord& record) {
+  follow::Update update{.answerer = this->boot,
+                        .table = this->table.version,
+                        .members = this->replication->members(),
+                        .gateways = this->GatewayCount(Now())};
+  if (record.is_gateway) {
+    directory::Changes changes = directory::ChangesSince(
+        this->directory, record.cursor, follow::kMostAnnouncements);
+    update.cursor = changes.cursor;
+    update.more = changes.more;
+    update.announcements = std::move(changes.announcements);
+  }
+  this->peers->Send(this->PeerAddress(to), wire::Encode(update));
+}
+
+void Server::SendTable(const InstanceId& to, FollowerRecord& record,
+                       TimePoint now) {
+  if (record.table >= this->table.version) return;
+  const bool on_its_way = record.table_sent == this->table.version &&
+                          now - record.table_sent_at < kTableResend;
+  if (on_its_way) return;
+  record.table_sent = this->table.version;
+  record.table_sent_at = now;
+  this->peers->Send(this->PeerAddress(to),
+                    wire::Encode(follow::TableUpdate{.table = this->table}));
+}
+
+void Server::PushUpdates() {
+  const TimePoint now = Now();
+  for (const auto& [instance, record] : this->followers) {
+    if (!record.is_gateway || now - record.polled_at >= kFollowing) continue;
+    this->SendUpdate(instance, record);
+  }
+}
+
+void Server::PushTable() {
+  // One sender is enough; what is lost comes with the next poll.
+  if (this->replication == nullptr || !this->replication->leads()) return;
+  const TimePoint now = Now();
+  for (auto& [instance, record] : this->followers) {
+    if (!record.is_gateway || now - record.polled_at >= kFollowing) continue;
+    this->SendTable(instance, record, now);
+  }
+}
+
+uint32_t Server::GatewayCount(TimePoint now) const {
+  uint32_t count = 0;
+  for (const auto& [instance, record] : this->followers) {
+    const bool follows = now - record.polled_at < kFollowing;
+    if (record.is_gateway && follows) ++count;
+  }
+  return count;
+}
+
+void Server::OnUpdate(const InstanceId& from, const follow::Update& update) {
+  follow::Merge(this->others, from, update, this->directory, Now());
+  this->replication->AddPeers(update.members);
+}
+
+}  // namespace samphirebank::coordinator
--- a/samphirebank/dialect/dialect.h
+++ b/samphirebank/dialect/dialect.h
@@ -154,6 +154,7 @@
   std::function<Headers(const Call&)> own_headers{};
   std::function<DecodedOrder(const ControlRequest&)> decode_order{};
   std::string readiness_path{};
+  std::string table_path{};  // where a route table is put
 };
 
 }  // namespace samphirebank::dialect
--- /dev/null
+++ b/samphirebank/dispatch/dispatch.h
@@ -0,0 +1,124 @@
+// File: dispatch.h
+//
+// Which target a forwarded request goes to. A model engine's prompt goes where
+// its shared parts are likely to be cached, unless the work that waits there
+// costs more than reading the parts again elsewhere; a plain service's request
+// goes to the nearest target with few requests. Targets that fail are passed
+// over for a while. No I/O.
+//
+// The load it answers: prompts whose shared parts are several times longer
+// than their own, at a rate at which the engines cannot read them all anew.
+//
+// Example:
+//
+//   std::optional<size_t> chosen = Choose(book, candidates, work, now);
+//   NoteSent(book, candidates[*chosen].id, work, now);
+//   NoteFirstEvent(book, id, work);
+//   NoteEnd(book, id, Ending::kGood, now);
+#ifndef SAMPHIREBANK_DISPATCH_DISPATCH_H_
+#define SAMPHIREBANK_DISPATCH_DISPATCH_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "samphirebank/base/base.h"
+#include "samphirebank/dialect/dialect.h"
+
+namespace samphirebank::dispatch {
+
+// Options of the choice. Costs are times that a request would wait.
+struct Options {
+  double tokens_read_per_ms = 60.0;  // by one engine that does nothing else
+  Duration crossing_zone = std::chrono::milliseconds(2);
+  Duration crossing_region = std::chrono::milliseconds(60);
+  // What each request that runs at an engine adds to another's first event.
+  Duration per_running = std::chrono::microseconds(500);
+  // What each request that waits at a target adds.
+  Duration per_waiting = std::chrono::milliseconds(30);
+  // A target's own count of its load is disregarded when older.
+  Duration load_age = std::chrono::seconds(2);
+  // How long a router takes a prompt part that it sent to be in the cache.
+  Duration cache_belief = std::chrono::seconds(20);
+  // The first ejection; each further failure in a row doubles it up to most.
+  Duration first_ejection = std::chrono::milliseconds(500);
+  Duration most_ejection = std::chrono::seconds(4);
+  uint32_t failures_to_eject = 2;       // in a row
+  double failure_rate_to_eject = 0.5;   // of the recent ends
+  double failure_rate_weight = 0.15;    // of the newest end in the rate
+  // At most this part of a service's targets is passed over.
+  double most_ejected = 0.5;
+};
+
+// Distance of a target from this router.
+enum class Distance : uint8_t { kSameZone, kSameRegion, kOtherRegion };
+
+// Candidate is a target that may be chosen.
+struct Candidate {
+  TargetId id{};
+  Distance distance = Distance::kSameZone;
+  uint32_t slots = 0;
+};
+
+// Work is what a request asks of a target.
+struct Work {
+  std::vector<dialect::PromptPart> shared{};  // parts that others may share
+  Tokens own{};                               // prompt tokens besides
+  uint64_t seed = 0;                          // differs between requests
+  std::set<TargetId> tried{};                 // not again, if others are left
+};
+
+// WorkOf reads a caller's prompt.
+Work WorkOf(const dialect::Prompt& prompt, uint64_t seed);
+
+// Ending says how a request ended at a target, as far as the target's health
+// goes.
+enum class Ending : uint8_t { kGood, kFailed, kNeutral };
+
+// Record is what a router knows of one target by its own traffic.
+struct Record {
+  uint32_t in_flight = 0;
+  Tokens unread{};  // prompt tokens sent whose first event has not come
+  std::optional<dialect::TargetLoad> load{};
+  TimePoint load_at{};
+  uint32_t failures_in_row = 0;
+  double failure_rate = 0.0;
+  TimePoint ejected_until{};
+};
+
+// Book is what a router knows of all targets.
+struct Book {
+  Options options{};
+  std::unordered_map<TargetId, Record> records{};
+  // When a prompt part was last sent to a target.
+  std::unordered_map<uint64_t, std::unordered_map<TargetId, TimePoint>>
+      part_sent{};
+};
+
+// Choose returns the position of the target that serves the work soonest;
+// nothing if there is no candidate.
+std::optional<size_t> Choose(const Book& book,
+                             const std::vector<Candidate>& candidates,
+                             const Work& work, TimePoint now);
+
+// NoteSent counts a request that is sent to a target.
+void NoteSent(Book& book, const TargetId& target, const Work& work,
+              TimePoint now);
+// NoteLoad takes in a target's own count.
+void NoteLoad(Book& book, const TargetId& target,
+              const dialect::TargetLoad& load, TimePoint now);
+// NoteRead tells that a target has read the prompt of a request.
+void NoteRead(Book& book, const TargetId& target, const Work& work);
+// NoteEnd counts the end of a request that NoteSent counted.
+void NoteEnd(Book& book, const TargetId& target, Ending ending, TimePoint now);
+// NoteUnreachable counts a connection that did not come about.
+void NoteUnreachable(Book& book, const TargetId& target, TimePoint now);
+// ForgetOld drops what is no longer believed; call it every few seconds.
+void ForgetOld(Book& book, TimePoint now);
+
+}  // namespace samphirebank::dispatch
+
+#endif  // SAMPHIREBANK_DISPATCH_DISPATCH_H_
--- /dev/null
+++ b/samphirebank/dispatch/dispatch_test.cc
@@ -0,0 +1,164 @@
+#include "samphirebank/dispatch/dispatch.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+namespace samphirebank::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart{seconds(1000)};
+
+std::vector<Candidate> Engines(int count) {
+  std::vector<Candidate> engines;
+  for (int i = 0; i < count; ++i) {
+    engines.push_back(
+        {.id = TargetId("t" + std::to_string(i)), .slots = 64});
+  }
+  return engines;
+}
+
+Work LongPrompt(uint64_t part, uint64_t seed = 0) {
+  return {.shared = {{.id = part, .tokens = Tokens(13'000)}},
+          .own = Tokens(3'700),
+          .seed = seed};
+}
+
+TEST_CASE("a prompt's last part is its own") {
+  const Work work = WorkOf({.parts = {{.id = 1, .tokens = Tokens(800)},
+                                      {.id = 2, .tokens = Tokens(400)},
+                                      {.id = 3, .tokens = Tokens(260)}},
+                            .tokens_in = Tokens(1460)},
+                           7);
+  CHECK(work.shared.size() == 2);
+  CHECK(work.own == Tokens(260));
+}
+
+TEST_CASE("a shared part has one home for all routers") {
+  const auto engines = Engines(18);
+  std::map<size_t, int> homes;
+  for (uint64_t part = 1; part <= 180; ++part) {
+    const auto first = Choose(Book{}, engines, LongPrompt(part, 1), kStart);
+    const auto second = Choose(Book{}, engines, LongPrompt(part, 2), kStart);
+    REQUIRE(first);
+    CHECK(first == second);
+    ++homes[*first];
+  }
+  CHECK(homes.size() == 18);
+}
+
+TEST_CASE("few homes move when a target leaves") {
+  auto engines = Engines(18);
+  std::map<uint64_t, TargetId> before;
+  for (uint64_t part = 1; part <= 180; ++part) {
+    before[part] =
+        engines[*Choose(Book{}, engines, LongPrompt(part), kStart)].id;
+  }
+  const TargetId gone = engines.back().id;
+  engines.pop_back();
+  for (const auto& [part, home] : before) {
+    const TargetId now =
+        engines[*Choose(Book{}, engines, LongPrompt(part), kStart)].id;
+    CHECK((home == gone || home == now));
+  }
+}
+
+TEST_CASE("a prompt leaves its home when waiting costs more than reading") {
+  const auto engines = Engines(18);
+  Book book;
+  const size_t home = *Choose(book, engines, LongPrompt(5), kStart);
+  for (int i = 0; i < 3; ++i) {
+    NoteSent(book, engines[home].id, LongPrompt(5), kStart);
+    CHECK(Choose(book, engines, LongPrompt(5), kStart) == home);
+  }
+  NoteSent(book, engines[home].id, LongPrompt(5), kStart);
+  const size_t other = *Choose(book, engines, LongPrompt(5), kStart);
+  CHECK(other != home);
+  for (int i = 0; i < 4; ++i) {
+    NoteRead(book, engines[home].id, LongPrompt(5));
+  }
+  CHECK(Choose(book, engines, LongPrompt(5), kStart) == home);
+}
+
+TEST_CASE("a short prompt stays in its region, a long one crosses") {
+  auto engines = Engines(18);
+  for (size_t i = 6; i < engines.size(); ++i) {
+    engines[i].distance = Distance::kOtherRegion;
+  }
+  int crossed = 0;
+  for (uint64_t part = 1; part <= 60; ++part) {
+    Work work = LongPrompt(part);
+    crossed += *Choose(Book{}, engines, work, kStart) >= 6 ? 1 : 0;
+    work.shared[0].tokens = Tokens(350);
+    CHECK(*Choose(Book{}, engines, work, kStart) < 6);
+  }
+  CHECK(crossed > 20);
+}
+
+TEST_CASE("a failing target is passed over, for longer each time") {
+  auto targets = Engines(3);
+  Book book;
+  const Work work;
+  const TargetId failing = targets[*Choose(book, targets, work, kStart)].id;
+  for (int i = 0; i < 2; ++i) {
+    NoteSent(book, failing, work, kStart);
+    NoteEnd(book, failing, Ending::kFailed, kStart);
+  }
+  CHECK(targets[*Choose(book, targets, work, kStart)].id != failing);
+  const TimePoint later = kStart + milliseconds(600);
+  CHECK(targets[*Choose(book, targets, work, later)].id == failing);
+  NoteSent(book, failing, work, later);
+  NoteEnd(book, failing, Ending::kFailed, later);
+  const TimePoint again = later + milliseconds(600);
+  CHECK(targets[*Choose(book, targets, work, again)].id != failing);
+}
+
+TEST_CASE("a target that fails half of its requests is passed over") {
+  auto targets = Engines(3);
+  Book book;
+  const Work work;
+  for (int i = 0; i < 40; ++i) {
+    NoteSent(book, targets[0].id, work, kStart);
+    NoteEnd(book, targets[0].id, i % 2 == 0 ? Ending::kGood : Ending::kFailed,
+            kStart);
+  }
+  CHECK(*Choose(book, targets, work, kStart) != 0);
+}
+
+TEST_CASE("not more than a part of the targets is passed over") {
+  auto targets = Engines(4);
+  Book book;
+  for (int i = 0; i < 3; ++i) NoteUnreachable(book, targets[i].id, kStart);
+  std::map<size_t, int> chosen;
+  for (uint64_t seed = 0; seed < 50; ++seed) {
+    ++chosen[*Choose(book, targets, {.seed = seed}, kStart)];
+  }
+  CHECK(chosen.size() > 1);
+}
+
+TEST_CASE("a target that was tried is chosen again only if no other is left") {
+  auto targets = Engines(2);
+  const Work tried{.tried = {targets[0].id}};
+  CHECK(Choose(Book{}, targets, tried, kStart) == 1);
+  CHECK_FALSE(Choose(Book{}, {}, {}, kStart));
+}
+
+TEST_CASE("a plain service's requests go to the nearest idle target") {
+  auto targets = Engines(3);
+  for (Candidate& target : targets) target.slots = 6;
+  targets[1].distance = Distance::kOtherRegion;
+  targets[2].distance = Distance::kOtherRegion;
+  Book book;
+  for (int i = 0; i < 6; ++i) {
+    CHECK(Choose(book, targets, {}, kStart) == 0);
+    NoteSent(book, targets[0].id, {}, kStart);
+  }
+  for (int i = 0; i < 4; ++i) NoteSent(book, targets[0].id, {}, kStart);
+  CHECK(Choose(book, targets, {}, kStart) != 0);
+}
+
+}  // namespace
+}  // namespace samphirebank::dispatch
--- a/samphirebank/events/events.h
+++ b/samphirebank/events/events.h
@@ -22,6 +22,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -42,7 +43,9 @@
   kProcessReady = 101,
   kShutdownStarted = 102,
   kProcessStopped = 103,
+  kSettingsReloaded = 104,
   kInternalError = 110,
+  kLinesLeftOut = 111,
 
   kRequestReceived = 200,
   kRequestRefused = 201,
@@ -61,6 +64,7 @@
   kTargetLeaving = 302,
   kTargetRefused = 303,
   kTargetStopped = 304,
+  kTargetPassedOver = 305,
 
   kSchedulerStarted = 400,
   kSchedulerRetired = 401,
@@ -74,6 +78,11 @@
   kChangeRepeated = 512,
   kChangeInForce = 513,
   kPoolAssigned = 520,
+  kTableAccepted = 530,
+  kTableRefused = 531,
+  kTableInForce = 532,
+  kControlLost = 540,
+  kControlRegained = 541,
 
   kLeaderElected = 600,
   kLeaderSteppedDown = 601,
@@ -185,7 +194,7 @@
   InstanceId instance = {};
   std::string role = {};
   BootId boot = {};
-  std::string file = {};  // appended to; empty: standard error
+  std::string file = {};  // appended to; empty: standard error, "-": output
   Severity lowest = Severity::kInfo;
 };
 
@@ -194,9 +203,28 @@
 void Open(const LogOptions& options);
 
 // Log writes an event, stamped by the process's clock. The line has reached
-// the file when Log returns, but is not synced.
+// the file when Log returns, but is not synced. Lines to standard output that
+// its reader does not take at once, and lines of one kind above
+// kMostLinesPerSecond, are left out and counted in a later line.
 void Log(const Event& event);
 
+// kMostLinesPerSecond bounds the lines of one kind to standard output.
+inline constexpr uint32_t kMostLinesPerSecond = 200;
+
+// LineBudget decides which lines are left out.
+struct LineBudget {
+  struct Usage {
+    int64_t second = 0;
+    uint32_t lines = 0;
+  };
+  std::map<Number, Usage> usage;
+  uint64_t left_out = 0;  // since the last report
+};
+
+// TakeLine tells whether a line of this kind may be written in the second of
+// `wall_ms`, and counts it.
+bool TakeLine(LineBudget& budget, Number number, int64_t wall_ms);
+
 // CurrentStamp ticks the process's clock, for a message to another instance.
 Stamp CurrentStamp();
 
--- a/samphirebank/events/events_test.cc
+++ b/samphirebank/events/events_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include <array>
 #include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -67,5 +68,33 @@
   CHECK(line["undeclared"] == nlohmann::json::array({"outcome"}));
 }
 
+TEST_CASE("lines of one kind are bounded by second, and counted") {
+  LineBudget budget;
+  for (uint32_t i = 0; i < kMostLinesPerSecond; ++i) {
+    REQUIRE(TakeLine(budget, Number::kRequestRefused, 5'000));
+  }
+  CHECK_FALSE(TakeLine(budget, Number::kRequestRefused, 5'999));
+  CHECK(budget.left_out == 1);
+  CHECK(TakeLine(budget, Number::kRequestAnswered, 5'999));
+  CHECK(TakeLine(budget, Number::kRequestRefused, 6'000));
+}
+
+TEST_CASE("nobody has to read standard output") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  const int kept = dup(STDOUT_FILENO);
+  dup2(ends[1], STDOUT_FILENO);
+  Open({.instance = InstanceId("r1"), .role = "router", .file = "-"});
+  const std::string detail(900, 'x');
+  for (int kind = 200; kind <= 210; ++kind) {
+    for (uint32_t i = 0; i < kMostLinesPerSecond; ++i) {
+      Log({.number = static_cast<Number>(kind), .detail = detail});
+    }
+  }
+  dup2(kept, STDOUT_FILENO);
+  Close();
+  for (const int descriptor : {kept, ends[0], ends[1]}) close(descriptor);
+}
+
 }  // namespace
 }  // namespace samphirebank::events
--- a/samphirebank/events/log.cc
+++ b/samphirebank/events/log.cc
@@ -1,3 +1,7 @@
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
@@ -6,9 +10,13 @@
 #include <boost/make_shared.hpp>
 #include <boost/smart_ptr/shared_ptr.hpp>
 #include <chrono>
+#include <climits>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <stdexcept>
+#include <streambuf>
+#include <string>
 
 #include "samphirebank/events/events.h"
 
@@ -19,11 +27,50 @@
 using Backend = logging::sinks::text_ostream_backend;
 using Sink = logging::sinks::synchronous_sink<Backend>;
 
+constexpr char kStandardOutput[] = "-";
+
+// LineWriter writes lines to a descriptor without ever waiting for a reader: a
+// pipe that is ready takes PIPE_BUF bytes at once. Other lines are left out.
+class LineWriter : public std::streambuf {
+ public:
+  LineWriter(int to, LineBudget* lines) : descriptor(to), budget(lines) {}
+
+ protected:
+  std::streamsize xsputn(const char* bytes, std::streamsize count) override {
+    this->line.append(bytes, static_cast<size_t>(count));
+    return count;
+  }
+  int_type overflow(int_type byte) override {
+    this->line.push_back(traits_type::to_char_type(byte));
+    return byte;
+  }
+  int sync() override {
+    pollfd ready{.fd = this->descriptor, .events = POLLOUT, .revents = 0};
+    const bool fits = this->line.size() <= PIPE_BUF;
+    const bool writable = fits && poll(&ready, 1, 0) == 1 &&
+                          (ready.revents & POLLOUT) != 0;
+    const bool written =
+        writable && write(this->descriptor, this->line.data(),
+                          this->line.size()) >= 0;
+    if (!written) ++this->budget->left_out;
+    this->line.clear();
+    return 0;
+  }
+
+ private:
+  int descriptor;
+  LineBudget* budget;
+  std::string line;
+};
+
 // Process is the logging state of this process.
 struct Process {
   Source source;
   Severity lowest = Severity::kInfo;
   Clock clock;
+  bool bounded = false;
+  LineBudget budget;
+  std::unique_ptr<LineWriter> writer;
   boost::shared_ptr<std::ostream> stream;
   boost::shared_ptr<Sink> sink;
   logging::sources::logger logger;
@@ -42,6 +89,12 @@
 }
 
 boost::shared_ptr<std::ostream> OpenStream(const std::string& file) {
+  if (file == kStandardOutput) {
+    Process& process = Current();
+    process.writer =
+        std::make_unique<LineWriter>(STDOUT_FILENO, &process.budget);
+    return boost::make_shared<std::ostream>(process.writer.get());
+  }
   if (file.empty()) {
     return {&std::cerr, [](std::ostream*) {}};
   }
@@ -50,8 +103,32 @@
   return stream;
 }
 
+void WriteLine(Process& process, const Event& event) {
+  const Stamp stamp = CurrentStamp();
+  BOOST_LOG(process.logger) << EventLine(process.source, stamp, event);
+}
+
+void ReportLeftOut(Process& process) {
+  if (process.budget.left_out == 0) return;
+  const auto count = static_cast<int64_t>(process.budget.left_out);
+  process.budget.left_out = 0;
+  WriteLine(process, {.number = Number::kLinesLeftOut, .count = count});
+}
+
 }  // namespace
 
+bool TakeLine(LineBudget& budget, Number number, int64_t wall_ms) {
+  LineBudget::Usage& usage = budget.usage[number];
+  const int64_t second = wall_ms / 1000;
+  if (usage.second != second) usage = {.second = second};
+  if (usage.lines >= kMostLinesPerSecond) {
+    ++budget.left_out;
+    return false;
+  }
+  ++usage.lines;
+  return true;
+}
+
 void Open(const LogOptions& options) {
   Close();
   auto backend = boost::make_shared<Backend>();
@@ -62,6 +139,7 @@
   process.source = Source{
       .instance = options.instance, .role = options.role, .boot = options.boot};
   process.lowest = options.lowest;
+  process.bounded = options.file == kStandardOutput;
   process.stream = stream;
   process.sink = boost::make_shared<Sink>(backend);
   logging::core::get()->add_sink(process.sink);
@@ -69,13 +147,16 @@
 
 void Log(const Event& event) {
   Process& process = Current();
-  const Stamp stamp = CurrentStamp();
   const Kind* kind = FindKind(event.number);
   const bool wanted = kind == nullptr || kind->severity >= process.lowest;
   if (process.sink == nullptr || !wanted) return;
+  if (process.bounded) {
+    if (!TakeLine(process.budget, event.number, WallMilliseconds())) return;
+    ReportLeftOut(process);
+  }
   // A stream that failed, on a full disk say, is tried again each time.
   process.stream->clear();
-  BOOST_LOG(process.logger) << EventLine(process.source, stamp, event);
+  WriteLine(process, event);
 }
 
 Stamp CurrentStamp() { return Tick(Current().clock, WallMilliseconds()); }
@@ -90,6 +171,7 @@
   logging::core::get()->remove_sink(process.sink);
   process.sink.reset();
   process.stream.reset();
+  process.writer.reset();
 }
 
 }  // namespace samphirebank::events
--- /dev/null
+++ b/samphirebank/forwarding/events.cc
@@ -0,0 +1,66 @@
+#include <charconv>
+
+#include "samphirebank/forwarding/forwarding.h"
+
+namespace samphirebank::forwarding {
+namespace {
+
+using dialect::EventId;
+
+constexpr std::string_view kIdField = "id:";
+
+// EventEnd returns the position after the first event; npos if it is not
+// whole. An event ends with an empty line.
+size_t EventEnd(std::string_view text) {
+  size_t line_start = 0;
+  while (true) {
+    const size_t line_end = text.find('\n', line_start);
+    if (line_end == std::string_view::npos) return line_end;
+    const size_t length = line_end - line_start;
+    const bool empty =
+        length == 0 || (length == 1 && text[line_start] == '\r');
+    if (empty && line_start > 0) return line_end + 1;
+    line_start = line_end + 1;
+  }
+}
+
+std::optional<EventId> IdOf(std::string_view event) {
+  size_t at = 0;
+  while (at < event.size()) {
+    const size_t end = std::min(event.find('\n', at), event.size());
+    std::string_view line = event.substr(at, end - at);
+    at = end + 1;
+    if (!line.starts_with(kIdField)) continue;
+    line.remove_prefix(kIdField.size());
+    while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+    uint64_t number = 0;
+    const auto parsed =
+        std::from_chars(line.data(), line.data() + line.size(), number);
+    if (parsed.ec == std::errc()) return EventId(number);
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string TakeEvents(EventStream& stream, std::string_view piece) {
+  stream.held.append(piece);
+  std::string whole;
+  size_t at = 0;
+  while (true) {
+    const std::string_view rest = std::string_view(stream.held).substr(at);
+    const size_t end = EventEnd(rest);
+    if (end == std::string_view::npos) break;
+    const std::string_view event = rest.substr(0, end);
+    at += end;
+    const std::optional<EventId> id = IdOf(event);
+    const bool repeated = id && stream.last && *id <= *stream.last;
+    if (repeated) continue;
+    if (id) stream.last = id;
+    whole.append(event);
+  }
+  stream.held.erase(0, at);
+  return whole;
+}
+
+}  // namespace samphirebank::forwarding
--- /dev/null
+++ b/samphirebank/forwarding/forwarding_test.cc
@@ -0,0 +1,148 @@
+#include "samphirebank/forwarding/forwarding.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+namespace samphirebank::forwarding {
+namespace {
+
+using dialect::EventId;
+using routes::Repetition;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart{seconds(1000)};
+
+Progress Sent(Repetition repetition, uint32_t attempts) {
+  return {.repetition = repetition, .attempts = attempts, .sends = 1};
+}
+
+TEST_CASE("what may have run is sent again only if it may run again") {
+  for (const SendEnd end : {SendEnd::kBroken, SendEnd::kAnswered}) {
+    CHECK(Decide(Sent(Repetition::kAgain, 2), end, true) == Next::kSendAgain);
+    CHECK(Decide(Sent(Repetition::kResume, 2), end, true) == Next::kSendAgain);
+  }
+  CHECK(Decide(Sent(Repetition::kNever, 2), SendEnd::kBroken, true) ==
+        Next::kUnknown);
+  CHECK(Decide(Sent(Repetition::kNever, 2), SendEnd::kAnswered, true) ==
+        Next::kPassOn);
+}
+
+TEST_CASE("what did not run is sent again, or refused truthfully") {
+  const Progress once = Sent(Repetition::kNever, 1);
+  const Progress twice = Sent(Repetition::kNever, 2);
+  CHECK(Decide(twice, SendEnd::kNotRun, true) == Next::kSendAgain);
+  CHECK(Decide(twice, SendEnd::kNotRun, false) == Next::kRefuse);
+  CHECK(Decide(once, SendEnd::kNotRun, true) == Next::kRefuse);
+  Progress ran = Sent(Repetition::kAgain, 1);
+  ran.may_have_run = true;
+  CHECK(Decide(ran, SendEnd::kNotRun, true) == Next::kUnknown);
+}
+
+TEST_CASE("a target out of reach takes no attempt and no budget") {
+  Progress progress = Sent(Repetition::kNever, 1);
+  progress.sends = 0;
+  progress.connects = 1;
+  CHECK(Decide(progress, SendEnd::kNotSent, false) == Next::kSendAgain);
+  progress.connects = kMaxConnects;
+  CHECK(Decide(progress, SendEnd::kNotSent, true) == Next::kRefuse);
+}
+
+TEST_CASE("an answer that began is never followed by another status") {
+  for (const SendEnd end : {SendEnd::kNotSent, SendEnd::kNotRun,
+                            SendEnd::kAnswered, SendEnd::kBroken}) {
+    Progress progress = Sent(Repetition::kResume, 1);
+    progress.connects = kMaxConnects;
+    progress.answer_begun = true;
+    CHECK(Decide(progress, end, false) == Next::kCut);
+  }
+}
+
+TEST_CASE("the budget is used up and comes back with the window") {
+  const BudgetOptions options{.ratio = 0.2, .allowance = 1};
+  RepeatBudget budget;
+  for (int i = 0; i < 10; ++i) NoteRequest(budget, options, kStart);
+  for (int i = 0; i < 3; ++i) {
+    REQUIRE(MayRepeat(budget, options, kStart));
+    NoteRepeat(budget, options, kStart);
+  }
+  CHECK_FALSE(MayRepeat(budget, options, kStart));
+  CHECK_FALSE(MayRepeat(budget, options, kStart + seconds(10)));
+  CHECK(MayRepeat(budget, options, kStart + seconds(11)));
+}
+
+// Naive is the bound as stated, over single arrivals.
+struct Naive {
+  std::vector<TimePoint> requests;
+  std::vector<TimePoint> repeats;
+
+  size_t Count(const std::vector<TimePoint>& all, TimePoint from,
+               TimePoint to) const {
+    size_t count = 0;
+    for (const TimePoint at : all) count += at > from && at <= to ? 1 : 0;
+    return count;
+  }
+};
+
+TEST_CASE("no window ever holds more repeats than the bound") {
+  CHECK(rc::check("repeat budget", [] {
+    const BudgetOptions options{.ratio = 0.2, .allowance = 2};
+    RepeatBudget budget;
+    Naive naive;
+    TimePoint now = kStart;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 700));
+    for (const int step : steps) {
+      now += milliseconds(step);
+      NoteRequest(budget, options, now);
+      naive.requests.push_back(now);
+      if (!MayRepeat(budget, options, now)) continue;
+      NoteRepeat(budget, options, now);
+      naive.repeats.push_back(now);
+    }
+    for (const TimePoint end : naive.repeats) {
+      const TimePoint begin = end - options.window;
+      const double bound =
+          options.ratio *
+              static_cast<double>(naive.Count(naive.requests, begin, end)) +
+          options.allowance;
+      RC_ASSERT(static_cast<double>(naive.Count(naive.repeats, begin, end)) <=
+                bound);
+    }
+  }));
+}
+
+TEST_CASE("only whole events pass") {
+  EventStream stream;
+  CHECK(TakeEvents(stream, "id: 1\ndata: a\n") == "");
+  CHECK(TakeEvents(stream, "\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  CHECK(stream.last == EventId(1));
+  CHECK(TakeEvents(stream, "ta: b\r\n\r\nid: 3") == "id: 2\ndata: b\r\n\r\n");
+  CHECK(stream.held == "id: 3");
+}
+
+TEST_CASE("an event that was passed on is not passed on again") {
+  EventStream stream{.last = EventId(2)};
+  CHECK(TakeEvents(stream, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n") ==
+        "id: 3\ndata: c\n\n");
+}
+
+TEST_CASE("events come out the same however they are cut") {
+  CHECK(rc::check("event cuts", [] {
+    const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nx";
+    EventStream stream;
+    std::string out;
+    size_t at = 0;
+    while (at < text.size()) {
+      const size_t length = *rc::gen::inRange<size_t>(1, 9);
+      out += TakeEvents(stream, text.substr(at, length));
+      at += length;
+    }
+    RC_ASSERT(out == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
+  }));
+}
+
+}  // namespace
+}  // namespace samphirebank::forwarding
--- /dev/null
+++ b/samphirebank/gateway/exchange.cc
@@ -0,0 +1,234 @@
+// A request before its first send, and how it ends.
+#include "samphirebank/gateway/internal/exchange.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <utility>
+
+#include "samphirebank/gateway/internal/server.h"
+#include "samphirebank/gateway/internal/session.h"
+
+namespace samphirebank::gateway {
+namespace {
+
+using boost::system::error_code;
+using events::Number;
+
+// A caller that is refused comes back after a time between these, so that
+// those refused together do not come back together.
+constexpr double kEarliestReturn = 0.2;  // seconds
+constexpr double kLatestReturn = 0.6;    // seconds
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+uint64_t SeedOf(const dialect::Call& call) {
+  return XXH64(call.id.value.data(), call.id.value.size(), 0);
+}
+
+std::string ReturnTime(uint64_t seed) {
+  constexpr uint64_t kSteps = 1000;
+  const double part = static_cast<double>(seed % kSteps) / kSteps;
+  const double seconds =
+      kEarliestReturn + part * (kLatestReturn - kEarliestReturn);
+  std::string text = std::to_string(seconds);
+  return text.substr(0, text.find('.') + 4);
+}
+
+web::Answer Problem(int status, const std::string& outcome,
+                    const std::string& reason, web::Headers headers) {
+  headers.push_back({"content-type", "application/problem+json"});
+  return {.status = status,
+          .headers = std::move(headers),
+          .body = "{\"status\":" + std::to_string(status) + ",\"outcome\":\"" +
+                  outcome + "\",\"detail\":\"" + reason + "\"}\n"};
+}
+
+}  // namespace
+
+Exchange::Exchange(Server& owner, Session& caller, web::Request given)
+    : server(owner),
+      session(caller),
+      request(std::move(given)),
+      limit_timer(owner.loop()),
+      begun_at(Now()) {}
+
+void Exchange::Start() {
+  this->server.NoteRequest();
+  dialect::DecodedCall decoded = this->server.dialect().decode_call(
+      {.method = this->request.method,
+       .target = this->request.target,
+       .headers = std::move(this->request.headers)});
+  this->call = std::move(decoded.call);
+  if (!decoded.findings.empty()) {
+    return this->Refuse(400, "the request's fields are malformed");
+  }
+  if (!this->Admit()) return;
+  this->StartLimit();
+  this->server.NoteServiceRequest(this->service);
+  this->SendToTarget();
+}
+
+bool Exchange::Admit() {
+  this->index = this->server.index();
+  if (this->index == nullptr) {
+    this->RefuseForNow("no route table is known yet");
+    return false;
+  }
+  this->route = routes::FindRoute(*this->index, this->call.host,
+                                  dialect::Path(this->call));
+  if (this->route == nullptr) {
+    this->Refuse(404, "no route has this host and path");
+    return false;
+  }
+  if (!this->FindOrganisation()) {
+    this->Refuse(401, "the API key is unknown");
+    return false;
+  }
+  const uint64_t seed = SeedOf(this->call);
+  this->service = routes::PickService(*this->route, seed);
+  this->work = dispatch::WorkOf(this->call.prompt, seed);
+  this->progress.repetition = this->route->repetition;
+  this->progress.attempts = std::max<uint32_t>(this->route->attempts, 1);
+  this->stream.last = this->call.after;
+  return true;
+}
+
+bool Exchange::FindOrganisation() {
+  const auto* found =
+      routes::FindOrganisation(*this->index, this->call.api_key);
+  if (found != nullptr) this->organisation = found->id;
+  const bool needed = this->index->table.keys_required && !this->route->open;
+  return found != nullptr || !needed;
+}
+
+void Exchange::StartLimit() {
+  this->time_limit = this->route->time_limit;
+  if (this->call.patience) {
+    this->time_limit = std::min(this->time_limit, *this->call.patience);
+  }
+  this->limit_timer.expires_at(this->begun_at + this->time_limit);
+  this->limit_timer.async_wait(
+      [weak = this->weak_from_this()](const error_code& stopped) {
+        const auto self = weak.lock();
+        if (!stopped && self != nullptr && !self->ended) self->OnLimit();
+      });
+}
+
+void Exchange::OnLimit() {
+  const bool sent = this->sending && this->sending->connection != nullptr;
+  if (sent) this->progress.may_have_run = true;
+  if (this->sending) this->EndSending(dispatch::Ending::kFailed);
+  if (this->progress.answer_begun) return this->Cut("time limit");
+  if (!this->progress.may_have_run) return this->RefuseForNow("time limit");
+  this->FailUnknown(504, "time limit");
+}
+
+void Exchange::CallerLeft() {
+  if (this->ended) return;
+  events::Event event = this->EventOf(Number::kCallerLeft);
+  if (this->sending) this->EndSending(dispatch::Ending::kNeutral);
+  events::Log(event);
+  this->server.NoteOutcome(Outcome::kCallerLeft, this->Elapsed());
+  this->Close();
+}
+
+void Exchange::Complete() {
+  events::Event event = this->EventOf(Number::kRequestAnswered);
+  event.status = this->sending->status;
+  event.outcome = "ran";
+  event.bytes = Bytes(this->bytes_passed);
+  events::Log(event);
+  this->server.NoteOutcome(
+      Outcome::kServed,
+      this->first_answer_at.value_or(Now()) - this->begun_at);
+  this->ReleaseConnection();
+  this->EndSending(dispatch::Ending::kGood);
+  this->Close();
+}
+
+void Exchange::PassOn() {
+  events::Event event = this->EventOf(Number::kRequestAnswered);
+  event.status = this->sending->status;
+  event.outcome = "ran";
+  events::Log(event);
+  this->server.NoteOutcome(Outcome::kFailedByTarget, this->Elapsed());
+  const web::Answer answer{.status = this->sending->status,
+                           .headers = this->sending->head.passed_on,
+                           .body = std::move(this->sending->body)};
+  this->sending.reset();
+  this->Close();
+  this->session.Reply(answer);
+}
+
+void Exchange::Refuse(int status, const std::string& reason) {
+  events::Event event = this->EventOf(Number::kRequestRefused);
+  event.status = status;
+  event.outcome = "not-run";
+  event.reason = reason;
+  events::Log(event);
+  this->server.NoteOutcome(Outcome::kRefused, this->Elapsed());
+  this->Close();
+  this->session.Reply(
+      Problem(status, "not-run", reason,
+              this->server.dialect().own_headers(this->call)));
+}
+
+void Exchange::RefuseForNow(const std::string& reason) {
+  events::Event event = this->EventOf(Number::kRequestRefused);
+  event.status = 503;
+  event.outcome = "not-run";
+  event.reason = reason;
+  events::Log(event);
+  this->server.NoteOutcome(Outcome::kRefused, this->Elapsed());
+  web::Headers headers = this->server.dialect().own_headers(this->call);
+  headers.push_back({"retry-after", ReturnTime(SeedOf(this->call))});
+  this->Close();
+  this->session.Reply(Problem(503, "not-run", reason, std::move(headers)));
+}
+
+void Exchange::FailUnknown(int status, const std::string& reason) {
+  events::Event event = this->EventOf(Number::kRequestCut);
+  event.outcome = "unknown";
+  event.reason = reason;
+  events::Log(event);
+  this->server.NoteOutcome(Outcome::kUnknown, this->Elapsed());
+  this->Close();
+  this->session.Reply(
+      Problem(status, "unknown", reason,
+              this->server.dialect().own_headers(this->call)));
+}
+
+void Exchange::Cut(const std::string& reason) {
+  events::Event event = this->EventOf(Number::kRequestCut);
+  event.outcome = "unknown";
+  event.reason = reason;
+  event.bytes = Bytes(this->bytes_passed);
+  events::Log(event);
+  this->server.NoteOutcome(Outcome::kCut, this->Elapsed());
+  this->Close();
+  this->session.Cut();
+}
+
+void Exchange::Close() {
+  this->ended = true;
+  this->limit_timer.cancel();
+}
+
+Duration Exchange::Elapsed() const { return Now() - this->begun_at; }
+
+events::Event Exchange::EventOf(events::Number number) const {
+  events::Event event{.number = number,
+                      .request = this->call.id,
+                      .organisation = this->organisation,
+                      .service = this->service,
+                      .duration = this->Elapsed(),
+                      .count = this->progress.sends};
+  if (this->sending) event.target = this->sending->target;
+  return event;
+}
+
+}  // namespace samphirebank::gateway
--- /dev/null
+++ b/samphirebank/gateway/internal/exchange.h
@@ -0,0 +1,111 @@
+// File: exchange.h
+//
+// One caller's request from its reading to the end of its answer: it chooses
+// targets, sends, relays, and ends as forwarding decides.
+#ifndef SAMPHIREBANK_GATEWAY_INTERNAL_EXCHANGE_H_
+#define SAMPHIREBANK_GATEWAY_INTERNAL_EXCHANGE_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "samphirebank/dialect/dialect.h"
+#include "samphirebank/dispatch/dispatch.h"
+#include "samphirebank/events/events.h"
+#include "samphirebank/forwarding/forwarding.h"
+#include "samphirebank/routes/routes.h"
+#include "samphirebank/web/web.h"
+
+namespace samphirebank::gateway {
+
+class Server;
+class Session;
+
+// Exchange belongs to the loop's thread. Its session outlives it, except after
+// CallerLeft.
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(Server& owner, Session& caller, web::Request given);
+
+  void Start();
+  // CallerLeft ends the work at the target; nothing is answered any more.
+  void CallerLeft();
+
+ private:
+  // Sending is one send to a target, from its choice to its end.
+  struct Sending {
+    TargetId target{};
+    net::SocketAddress address{};
+    std::shared_ptr<web::Connection> connection{};
+    std::unique_ptr<web::AnswerReader> reader{};
+    dialect::AnswerHead head{};
+    int status = 0;
+    std::string body{};       // of an answer that is not streamed on
+    bool head_seen = false;
+    bool foreign = false;     // the answer being read is another request's
+    uint32_t foreign_seen = 0;
+    bool read_noted = false;  // the target has read the prompt
+    TimePoint sent_at{};
+  };
+
+  // Before the first send.
+  bool Admit();
+  bool FindOrganisation();
+  void StartLimit();
+  void OnLimit();
+
+  // Sending.
+  void SendToTarget();
+  void OnConnection(std::shared_ptr<web::Connection> connection);
+  void Listen();
+  void OnAnswerData();
+  void OnConnectionEnd(web::End end);
+  bool TakeHead();
+  void TakeBody();
+  void OnAnswerWhole();
+  void NextAnswer();
+  bool IsSuccess() const;
+  void PassEvents(std::string_view piece);
+  void HoldBack();
+
+  // After a send.
+  void ReleaseConnection();
+  void EndSending(dispatch::Ending ending);
+  void Continue(forwarding::SendEnd end);
+  void SendAgain(forwarding::SendEnd end);
+
+  // The end.
+  void Complete();
+  void PassOn();
+  void Refuse(int status, const std::string& reason);
+  void RefuseForNow(const std::string& reason);
+  void FailUnknown(int status, const std::string& reason);
+  void Cut(const std::string& reason);
+  void Close();
+  Duration Elapsed() const;
+  events::Event EventOf(events::Number number) const;
+
+  Server& server;
+  Session& session;
+  web::Request request;
+  dialect::Call call;
+  std::shared_ptr<const routes::RouteIndex> index;
+  const routes::Route* route = nullptr;
+  ServiceId service;
+  OrganisationId organisation;
+  dispatch::Work work;
+  forwarding::Progress progress;
+  forwarding::EventStream stream;
+  std::optional<Sending> sending;
+  boost::asio::steady_timer limit_timer;
+  TimePoint begun_at;
+  Duration time_limit{};
+  std::optional<TimePoint> first_answer_at;
+  int64_t bytes_passed = 0;
+  bool ended = false;
+};
+
+}  // namespace samphirebank::gateway
+
+#endif  // SAMPHIREBANK_GATEWAY_INTERNAL_EXCHANGE_H_
--- /dev/null
+++ b/samphirebank/gateway/internal/metrics.h
@@ -0,0 +1,48 @@
+// File: metrics.h
+//
+// The counters and histograms of one gateway.
+#ifndef SAMPHIREBANK_GATEWAY_INTERNAL_METRICS_H_
+#define SAMPHIREBANK_GATEWAY_INTERNAL_METRICS_H_
+
+#include <array>
+#include <cstdint>
+
+#include "samphirebank/metrics/metrics.h"
+
+namespace samphirebank::gateway {
+
+// Outcome says how a caller's request ended.
+enum class Outcome : uint8_t {
+  kServed,
+  kFailedByTarget,
+  kRefused,     // not run
+  kUnknown,     // may have run
+  kCut,         // broken off midway
+  kCallerLeft,
+};
+inline constexpr size_t kOutcomes = 6;
+
+// Metrics of one gateway.
+struct Metrics {
+  metrics::Registry registry{};
+  metrics::Counter& requests;
+  metrics::Counter& unreadable;
+  std::array<metrics::Counter*, kOutcomes> outcomes{};
+  metrics::Histogram& first_answer;
+  metrics::Counter& repeats;
+  metrics::Counter& repeats_denied;
+  metrics::Counter& connects;
+  metrics::Counter& unreachable;
+  metrics::Counter& passed_over;
+  metrics::Gauge& sessions;
+  metrics::Gauge& idle_connections;
+  metrics::Gauge& targets;
+  metrics::Gauge& table_version;
+  metrics::Gauge& control_silence;
+
+  Metrics();
+};
+
+}  // namespace samphirebank::gateway
+
+#endif  // SAMPHIREBANK_GATEWAY_INTERNAL_METRICS_H_
--- /dev/null
+++ b/samphirebank/gateway/internal/server.h
@@ -0,0 +1,124 @@
+// File: server.h
+//
+// The gateway's shell: what its sessions and exchanges share, and how it
+// follows the coordinators.
+#ifndef SAMPHIREBANK_GATEWAY_INTERNAL_SERVER_H_
+#define SAMPHIREBANK_GATEWAY_INTERNAL_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "samphirebank/dialect/dialect.h"
+#include "samphirebank/directory/directory.h"
+#include "samphirebank/dispatch/dispatch.h"
+#include "samphirebank/follow/follow.h"
+#include "samphirebank/forwarding/forwarding.h"
+#include "samphirebank/gateway/internal/metrics.h"
+#include "samphirebank/gateway/internal/target_pool.h"
+#include "samphirebank/link/link.h"
+#include "samphirebank/routes/routes.h"
+#include "samphirebank/settings/settings.h"
+#include "samphirebank/web/web.h"
+
+namespace samphirebank::gateway {
+
+class Session;
+
+// ChosenTarget is where a request goes.
+struct ChosenTarget {
+  TargetId id{};
+  net::SocketAddress address{};
+};
+
+// Server is one gateway. It belongs to the loop's thread.
+class Server {
+ public:
+  // Throws std::runtime_error if an address cannot be bound.
+  Server(boost::asio::io_context& event_loop,
+         const settings::GatewaySettings& given,
+         const dialect::Dialect& adapter);
+
+  // BeginShutdown takes the instance out of rotation, lets running requests
+  // end, and calls `done`.
+  void BeginShutdown(std::function<void()> done);
+
+  // What sessions and exchanges use.
+  boost::asio::io_context& loop() { return this->event_loop; }
+  const dialect::Dialect& dialect() const { return this->adapter; }
+  std::shared_ptr<const routes::RouteIndex> index() const {
+    return this->table;
+  }
+  routes::CallerLimits limits() const;
+  bool draining() const { return this->is_draining; }
+  dispatch::Book& book() { return this->targets_book; }
+  TargetPool& pool() { return this->connections; }
+  void Forget(Session& session);
+
+  std::optional<ChosenTarget> ChooseTarget(const ServiceId& service,
+                                           const dispatch::Work& work,
+                                           TimePoint now);
+  // LoadText says what is known of a target's load, and how old that is.
+  std::string LoadText(const TargetId& target, TimePoint now) const;
+  void NoteSendEnd(const TargetId& target, dispatch::Ending ending);
+  void NoteUnreachable(const TargetId& target,
+                       const net::SocketAddress& address);
+  void NoteServiceRequest(const ServiceId& service);
+  bool MayRepeat(const ServiceId& service, TimePoint now) const;
+  void NoteRepeat(const ServiceId& service);
+
+  void NoteRequest() { this->metrics.requests.Add(1); }
+  void NoteConnect() { this->metrics.connects.Add(1); }
+  void NoteUnreadable(int status);
+  void NoteOutcome(Outcome outcome, Duration latency);
+
+ private:
+  void Listen();
+  void StartTimer();
+  void Tick();
+  void WatchControl(TimePoint now);
+  void ForgetTargets(TimePoint now);
+  void SendPolls(TimePoint now);
+  void OnPacket(const wire::Opened& opened);
+  void OnUpdate(const InstanceId& from, const follow::Update& update);
+  void InstallTable(const InstanceId& from, routes::RouteTable newer);
+  net::SocketAddress PeerAddress(const InstanceId& instance) const;
+  dispatch::Distance DistanceTo(const ZoneId& zone) const;
+  forwarding::BudgetOptions BudgetOptions() const;
+  void StepShutdown();
+  web::Answer MetricsText();
+
+  boost::asio::io_context& event_loop;
+  settings::GatewaySettings settings;
+  const dialect::Dialect& adapter;
+  std::map<ZoneId, RegionId> regions;
+  std::shared_ptr<const routes::RouteIndex> table;
+  directory::Directory directory;
+  follow::Follower follower;
+  dispatch::Book targets_book;
+  TargetPool connections;
+  std::map<ServiceId, forwarding::RepeatBudget> budgets;
+  std::set<std::shared_ptr<Session>> sessions;
+  std::unique_ptr<link::Link> peers;
+  std::unique_ptr<web::Listener> callers;
+  std::unique_ptr<web::Server> ready_server;
+  std::unique_ptr<web::Server> metrics_server;
+  boost::asio::steady_timer timer;
+  std::optional<TimePoint> control_lost_at;
+  TimePoint in_contact_since;
+  bool is_draining = false;
+  TimePoint shutdown_at;
+  std::function<void()> shutdown_done;
+  Metrics metrics;
+};
+
+}  // namespace samphirebank::gateway
+
+#endif  // SAMPHIREBANK_GATEWAY_INTERNAL_SERVER_H_
--- /dev/null
+++ b/samphirebank/gateway/internal/session.h
@@ -0,0 +1,65 @@
+// File: session.h
+//
+// One caller's connection: it reads requests one after the other and sends
+// their answers.
+#ifndef SAMPHIREBANK_GATEWAY_INTERNAL_SESSION_H_
+#define SAMPHIREBANK_GATEWAY_INTERNAL_SESSION_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "samphirebank/web/web.h"
+
+namespace samphirebank::gateway {
+
+class Exchange;
+class Server;
+
+// Session belongs to the loop's thread and keeps itself alive while its
+// connection is open.
+class Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(Server& owner, std::shared_ptr<web::Connection> accepted);
+
+  void Start();
+  // CloseIfIdle closes a connection on which no request runs.
+  void CloseIfIdle();
+  bool answering() const { return this->exchange != nullptr; }
+
+  // The exchange answers by either Reply, or BeginChunks, any number of
+  // SendChunk, and EndChunks or Cut.
+  void Reply(const web::Answer& answer);
+  void BeginChunks(int status, const web::Headers& headers);
+  void SendChunk(std::string_view piece);
+  void EndChunks();
+  // Cut breaks the answer off so that it cannot be taken for a whole one.
+  void Cut();
+  // queued is how much of the answer the caller has not taken yet.
+  size_t queued() const { return this->connection->queued(); }
+  void OnDrained(std::function<void()> action);
+
+ private:
+  void OnData();
+  void OnEnd();
+  void ReadRequest();
+  void RefuseRequest(web::ReadState state);
+  void EndAnswer();
+  void NextRequest();
+  void SetTimer(Duration limit);
+  bool KeepsAlive() const;
+
+  Server& server;
+  std::shared_ptr<web::Connection> connection;
+  std::unique_ptr<web::RequestReader> reader;
+  std::shared_ptr<Exchange> exchange;
+  boost::asio::steady_timer timer;
+  bool reading = false;     // a part of a request is read
+  bool keep_alive = true;   // as the caller's request says
+  bool told_close = false;  // the answer's head says that we close
+};
+
+}  // namespace samphirebank::gateway
+
+#endif  // SAMPHIREBANK_GATEWAY_INTERNAL_SESSION_H_
--- /dev/null
+++ b/samphirebank/gateway/metrics.cc
@@ -0,0 +1,57 @@
+#include "samphirebank/gateway/internal/metrics.h"
+
+#include <string>
+
+namespace samphirebank::gateway {
+namespace {
+
+constexpr std::array<const char*, kOutcomes> kOutcomeNames = {
+    "served", "failed-by-target", "refused", "unknown", "cut", "caller-left"};
+
+}  // namespace
+
+Metrics::Metrics()
+    : requests(this->registry.AddCounter(
+          {.name = "requests_total", .help = "Requests that were read."})),
+      unreadable(this->registry.AddCounter(
+          {.name = "unreadable_total",
+           .help = "Connections closed for what could not be read."})),
+      first_answer(this->registry.AddHistogram(
+          {.name = "first_answer_seconds",
+           .help = "Time to the first part of a served answer."},
+          {})),
+      repeats(this->registry.AddCounter(
+          {.name = "repeats_total", .help = "Requests sent again."})),
+      repeats_denied(this->registry.AddCounter(
+          {.name = "repeats_denied_total",
+           .help = "Requests not sent again for want of budget."})),
+      connects(this->registry.AddCounter(
+          {.name = "connects_total",
+           .help = "New connections to targets."})),
+      unreachable(this->registry.AddCounter(
+          {.name = "unreachable_total",
+           .help = "Connections to targets that did not come about."})),
+      passed_over(this->registry.AddCounter(
+          {.name = "passed_over_total",
+           .help = "Times that a target was passed over for a while."})),
+      sessions(this->registry.AddGauge(
+          {.name = "caller_connections", .help = "Open callers' connections."})),
+      idle_connections(this->registry.AddGauge(
+          {.name = "idle_connections",
+           .help = "Kept connections to targets."})),
+      targets(this->registry.AddGauge(
+          {.name = "targets", .help = "Targets in the directory."})),
+      table_version(this->registry.AddGauge(
+          {.name = "table_version", .help = "The route table in force."})),
+      control_silence(this->registry.AddGauge(
+          {.name = "control_silence_seconds",
+           .help = "Time since a coordinator was heard."})) {
+  for (size_t i = 0; i < kOutcomes; ++i) {
+    this->outcomes[i] = &this->registry.AddCounter(
+        {.name = "outcomes_total",
+         .help = "Requests by how they ended.",
+         .labels = {{.name = "outcome", .value = kOutcomeNames[i]}}});
+  }
+}
+
+}  // namespace samphirebank::gateway
--- /dev/null
+++ b/samphirebank/gateway/sending.cc
@@ -0,0 +1,329 @@
+// A request's sends to targets, and what comes back.
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "samphirebank/gateway/internal/exchange.h"
+#include "samphirebank/gateway/internal/server.h"
+#include "samphirebank/gateway/internal/session.h"
+
+namespace samphirebank::gateway {
+namespace {
+
+using dispatch::Ending;
+using events::Number;
+using forwarding::Next;
+using forwarding::SendEnd;
+using std::chrono::milliseconds;
+
+constexpr Duration kConnectLimit = milliseconds(600);
+// A kept connection may have ended without a sign; what may run only once goes
+// on one that was used just now, or on a new one.
+constexpr Duration kMostIdle = std::chrono::seconds(60);
+constexpr Duration kMostIdleOnce = milliseconds(1000);
+// Answers to other requests that one connection may deliver first.
+constexpr uint32_t kMostForeign = 3;
+// Above it the target is read no further until the caller has caught up.
+constexpr size_t kMostQueued = 256 << 10;
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+bool IsInformational(int status) { return status >= 100 && status < 200; }
+
+// These statuses promise that the request has not run.
+bool IsPromise(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+constexpr int kWrongTarget = 421;
+
+}  // namespace
+
+void Exchange::SendToTarget() {
+  const TimePoint now = Now();
+  const auto chosen =
+      this->server.ChooseTarget(this->service, this->work, now);
+  if (!chosen) {
+    if (this->progress.answer_begun) return this->Cut("no target");
+    if (this->progress.may_have_run) return this->FailUnknown(502, "no target");
+    return this->RefuseForNow("no target");
+  }
+  this->sending = Sending{.target = chosen->id, .address = chosen->address};
+  const bool once =
+      this->progress.repetition == routes::Repetition::kNever;
+  auto kept = this->server.pool().Take(chosen->address,
+                                       once ? kMostIdleOnce : kMostIdle, now);
+  if (kept != nullptr) return this->OnConnection(std::move(kept));
+  this->server.NoteConnect();
+  web::Connect(this->server.loop(), chosen->address, kConnectLimit,
+               [self = this->shared_from_this()](
+                   std::shared_ptr<web::Connection> connection) {
+                 self->OnConnection(std::move(connection));
+               });
+}
+
+void Exchange::OnConnection(std::shared_ptr<web::Connection> connection) {
+  const TimePoint now = Now();
+  if (this->ended) {
+    if (connection != nullptr) connection->Close();
+    return;
+  }
+  if (connection == nullptr) {
+    this->server.NoteUnreachable(this->sending->target,
+                                 this->sending->address);
+    this->work.tried.insert(this->sending->target);
+    this->sending.reset();
+    ++this->progress.connects;
+    return this->Continue(SendEnd::kNotSent);
+  }
+  this->sending->connection = std::move(connection);
+  this->sending->sent_at = now;
+  ++this->progress.sends;
+  this->work.tried.insert(this->sending->target);
+  dispatch::NoteSent(this->server.book(), this->sending->target, this->work,
+                     now);
+  events::Event event = this->EventOf(Number::kRequestDispatched);
+  event.address = this->sending->address.ToText();
+  event.revision = Revision(this->index->table.version.value);
+  event.detail = this->server.LoadText(this->sending->target, now);
+  events::Log(event);
+  const dialect::SendOrder order{
+      .target = this->sending->target,
+      .address = this->sending->address,
+      .organisation = this->organisation,
+      .time_left = this->begun_at + this->time_limit - now,
+      .after = this->stream.last,
+      .body_bytes = this->request.body.size()};
+  std::string bytes = this->server.dialect().encode_send(this->call, order);
+  bytes += this->request.body;
+  this->Listen();
+  this->sending->connection->Send(bytes);
+}
+
+void Exchange::Listen() {
+  this->sending->reader =
+      std::make_unique<web::AnswerReader>(this->request.method == "HEAD");
+  this->sending->connection->Start(
+      [self = this->shared_from_this()] { self->OnAnswerData(); },
+      [self = this->shared_from_this()](web::End end) {
+        self->OnConnectionEnd(end);
+      });
+}
+
+void Exchange::OnAnswerData() {
+  while (!this->ended && this->sending) {
+    Sending& current = *this->sending;
+    const web::ReadState state =
+        current.reader->Feed(&current.connection->input());
+    if (state == web::ReadState::kMalformed ||
+        state == web::ReadState::kHeadTooLarge) {
+      this->EndSending(Ending::kFailed);
+      return this->Continue(SendEnd::kBroken);
+    }
+    if (!current.head_seen && current.reader->head_done() &&
+        !this->TakeHead()) {
+      this->EndSending(Ending::kFailed);
+      return this->Continue(SendEnd::kBroken);
+    }
+    if (current.head_seen) this->TakeBody();
+    if (state != web::ReadState::kWhole) return;
+    if (!current.foreign) return this->OnAnswerWhole();
+    this->NextAnswer();
+  }
+}
+
+// TakeHead returns false when the connection can bring no answer to this
+// request.
+bool Exchange::TakeHead() {
+  Sending& current = *this->sending;
+  current.head_seen = true;
+  current.status = current.reader->status();
+  current.head =
+      this->server.dialect().decode_answer(current.reader->TakeHeaders());
+  current.foreign = IsInformational(current.status) ||
+                    (!current.head.request.value.empty() &&
+                     current.head.request != this->call.id);
+  if (current.foreign) return ++current.foreign_seen <= kMostForeign;
+  if (current.head.load) {
+    dispatch::NoteLoad(this->server.book(), current.target,
+                       *current.head.load, Now());
+  }
+  return true;
+}
+
+void Exchange::NextAnswer() {
+  Sending& current = *this->sending;
+  current.reader =
+      std::make_unique<web::AnswerReader>(this->request.method == "HEAD");
+  current.head_seen = false;
+  current.foreign = false;
+}
+
+bool Exchange::IsSuccess() const {
+  const Sending& current = *this->sending;
+  return current.status >= 200 && current.status < 300 &&
+         current.head.signed_by_target && !current.head.encoded &&
+         current.head.request == this->call.id;
+}
+
+void Exchange::TakeBody() {
+  Sending& current = *this->sending;
+  const std::string piece = current.reader->TakeBody();
+  if (current.foreign || piece.empty()) return;
+  if (!current.read_noted) {
+    current.read_noted = true;
+    dispatch::NoteRead(this->server.book(), current.target, this->work);
+  }
+  if (this->IsSuccess() && this->route->streamed) {
+    return this->PassEvents(piece);
+  }
+  current.body += piece;
+}
+
+void Exchange::PassEvents(std::string_view piece) {
+  const std::string whole = forwarding::TakeEvents(this->stream, piece);
+  if (whole.empty()) return;
+  if (!std::exchange(this->progress.answer_begun, true)) {
+    this->first_answer_at = Now();
+    this->session.BeginChunks(this->sending->status,
+                              this->sending->head.passed_on);
+  }
+  this->bytes_passed += static_cast<int64_t>(whole.size());
+  this->session.SendChunk(whole);
+  if (this->session.queued() > kMostQueued) this->HoldBack();
+}
+
+void Exchange::HoldBack() {
+  const std::weak_ptr<web::Connection> source = this->sending->connection;
+  this->sending->connection->Pause();
+  this->session.OnDrained([source] {
+    if (const auto open = source.lock()) open->Resume();
+  });
+}
+
+void Exchange::OnConnectionEnd(web::End end) {
+  if (this->ended || !this->sending) return;
+  Sending& current = *this->sending;
+  const bool orderly = end == web::End::kClosed;
+  const bool whole = orderly && current.head_seen && !current.foreign &&
+                     current.reader->FeedEnd() == web::ReadState::kWhole;
+  if (whole) {
+    current.head.closes = true;
+    this->TakeBody();
+    return this->OnAnswerWhole();
+  }
+  this->EndSending(Ending::kFailed);
+  this->Continue(SendEnd::kBroken);
+}
+
+void Exchange::OnAnswerWhole() {
+  Sending& current = *this->sending;
+  if (this->IsSuccess()) {
+    const bool cut_within_event =
+        this->route->streamed && !this->stream.held.empty();
+    if (cut_within_event) {
+      this->EndSending(Ending::kFailed);
+      return this->Continue(SendEnd::kBroken);
+    }
+    const bool chunked = this->progress.answer_begun;
+    const web::Answer answer{.status = current.status,
+                             .headers = current.head.passed_on,
+                             .body = std::move(current.body)};
+    this->bytes_passed += static_cast<int64_t>(answer.body.size());
+    this->Complete();
+    return chunked ? this->session.EndChunks() : this->session.Reply(answer);
+  }
+  const bool not_run = current.head.not_run || current.status == kWrongTarget;
+  if (not_run) {
+    this->ReleaseConnection();
+    this->EndSending(current.status == kWrongTarget ? Ending::kFailed
+                                                    : Ending::kNeutral);
+    return this->Continue(SendEnd::kNotRun);
+  }
+  const bool can_pass = current.head.signed_by_target &&
+                        current.status >= 300 && !current.head.encoded &&
+                        !IsPromise(current.status);
+  this->ReleaseConnection();
+  if (can_pass) return this->Continue(SendEnd::kAnswered);
+  this->EndSending(Ending::kFailed);
+  this->Continue(SendEnd::kBroken);
+}
+
+// ReleaseConnection keeps the connection for later requests if it is clean.
+void Exchange::ReleaseConnection() {
+  Sending& current = *this->sending;
+  const bool clean = !current.head.closes && !current.connection->closed() &&
+                     current.connection->input().empty() &&
+                     current.connection->queued() == 0;
+  auto connection = std::exchange(current.connection, nullptr);
+  if (!clean) return connection->Close();
+  this->server.pool().Give(current.address, std::move(connection),
+                           current.head.idle_limit, Now());
+}
+
+// EndSending ends the work at the target, unless it is done.
+void Exchange::EndSending(Ending ending) {
+  Sending current = std::move(*this->sending);
+  this->sending.reset();
+  if (current.connection != nullptr) current.connection->Close();
+  const bool was_sent = current.reader != nullptr;
+  if (!was_sent) return;
+  if (!current.read_noted) {
+    dispatch::NoteRead(this->server.book(), current.target, this->work);
+  }
+  this->server.NoteSendEnd(current.target, ending);
+}
+
+void Exchange::Continue(SendEnd end) {
+  const TimePoint now = Now();
+  const Next next = forwarding::Decide(
+      this->progress, end, this->server.MayRepeat(this->service, now));
+  const bool ran = end == SendEnd::kBroken || end == SendEnd::kAnswered;
+  if (next == Next::kPassOn) {
+    const bool fault = this->sending->status >= 500;
+    this->server.NoteSendEnd(this->sending->target,
+                             fault ? Ending::kFailed : Ending::kGood);
+    return this->PassOn();
+  }
+  if (end == SendEnd::kAnswered && this->sending) {
+    this->EndSending(Ending::kFailed);
+  }
+  if (ran) this->progress.may_have_run = true;
+  switch (next) {
+    case Next::kSendAgain:
+      return this->SendAgain(end);
+    case Next::kRefuse:
+      return this->RefuseForNow(end == SendEnd::kNotSent ? "unreachable"
+                                                         : "target full");
+    case Next::kUnknown:
+      return this->FailUnknown(502, "the target broke off");
+    default:
+      return this->Cut("the target broke off");
+  }
+}
+
+void Exchange::SendAgain(SendEnd end) {
+  if (end != SendEnd::kNotSent) this->server.NoteRepeat(this->service);
+  const bool resumes = this->progress.answer_begun;
+  events::Event event = this->EventOf(resumes ? Number::kRequestResumed
+                                              : Number::kRequestRetried);
+  switch (end) {
+    case SendEnd::kNotSent:
+      event.reason = "unreachable";
+      break;
+    case SendEnd::kNotRun:
+      event.reason = "not run";
+      break;
+    case SendEnd::kAnswered:
+      event.reason = "target failed";
+      break;
+    case SendEnd::kBroken:
+      event.reason = "broken off";
+      break;
+  }
+  events::Log(event);
+  this->stream.held.clear();
+  this->SendToTarget();
+}
+
+}  // namespace samphirebank::gateway
--- /dev/null
+++ b/samphirebank/gateway/server.cc
@@ -0,0 +1,255 @@
+#include "samphirebank/gateway/internal/server.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <chrono>
+#include <stdexcept>
+#include <utility>
+
+#include "samphirebank/events/events.h"
+#include "samphirebank/gateway/internal/session.h"
+
+namespace samphirebank::gateway {
+namespace {
+
+using boost::system::error_code;
+using events::Number;
+using std::chrono::milliseconds;
+
+constexpr Duration kTimerPeriod = milliseconds(100);
+constexpr Duration kControlSilence = std::chrono::seconds(3);
+// The balancer asks once a second and takes an instance out after two misses.
+constexpr Duration kLeavesRotation = milliseconds(3000);
+// Kept for closing connections before the process is killed.
+constexpr Duration kShutdownMargin = milliseconds(300);
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+wire::FleetKey FleetKeyOf(const settings::GatewaySettings& settings) {
+  const auto key = wire::ParseFleetKey(settings.fleet_key.value);
+  if (!key) throw std::runtime_error("the fleet key is not 64 hex digits");
+  return *key;
+}
+
+follow::Options FollowOptions(const settings::GatewaySettings& settings) {
+  follow::Options options;
+  for (const net::SocketAddress& seed : settings.seeds) {
+    options.seeds.emplace_back(seed.ip);
+  }
+  return options;
+}
+
+BootId RandomBoot() {
+  uint64_t number = 0;
+  randombytes_buf(&number, sizeof(number));
+  return BootId(number);
+}
+
+}  // namespace
+
+Server::Server(boost::asio::io_context& given_loop,
+               const settings::GatewaySettings& given,
+               const dialect::Dialect& given_adapter)
+    : event_loop(given_loop),
+      settings(given),
+      adapter(given_adapter),
+      follower(follow::Start(FollowOptions(given), Now())),
+      timer(given_loop),
+      in_contact_since(Now()) {
+  events::Open({.instance = given.identity.instance,
+                .role = "gateway",
+                .boot = RandomBoot(),
+                .file = given.log_file});
+  events::Log({.number = Number::kProcessStarted});
+  for (const settings::ZoneInRegion& item : given.zones) {
+    this->regions[item.zone] = item.region;
+  }
+  this->Listen();
+  this->StartTimer();
+  this->SendPolls(Now());
+}
+
+void Server::Listen() {
+  const std::string& ip = this->settings.identity.address;
+  this->peers = std::make_unique<link::Link>(
+      this->event_loop,
+      link::Options{.address = {.ip = ip, .port = this->settings.peer_port},
+                    .key = FleetKeyOf(this->settings),
+                    .self = InstanceId(ip),
+                    .on_packet = [this](const wire::Opened& opened) {
+                      this->OnPacket(opened);
+                    }});
+  this->callers = std::make_unique<web::Listener>(
+      this->event_loop, this->settings.caller_address,
+      [this](std::shared_ptr<web::Connection> connection) {
+        auto session =
+            std::make_shared<Session>(*this, std::move(connection));
+        this->sessions.insert(session);
+        session->Start();
+      });
+  this->ready_server = std::make_unique<web::Server>(
+      this->event_loop,
+      web::ServerOptions{
+          .address = this->settings.ready_address,
+          .on_request = [this](const web::Request& request,
+                               const web::Reply& reply) {
+            const bool ready = this->table != nullptr && !this->is_draining;
+            const bool asked = request.target == this->adapter.readiness_path;
+            reply({.status = !asked ? 404 : (ready ? 200 : 503)});
+          }});
+  this->metrics_server = std::make_unique<web::Server>(
+      this->event_loop,
+      web::ServerOptions{
+          .address = {.ip = ip, .port = this->settings.metrics_port},
+          .on_request = [this](const web::Request&, const web::Reply& reply) {
+            reply(this->MetricsText());
+          }});
+}
+
+void Server::StartTimer() {
+  this->timer.expires_after(kTimerPeriod);
+  this->timer.async_wait([this](const error_code& stopped) {
+    if (stopped) return;
+    this->Tick();
+    this->StartTimer();
+  });
+}
+
+void Server::Tick() {
+  const TimePoint now = Now();
+  this->WatchControl(now);
+  this->SendPolls(now);
+  this->ForgetTargets(now);
+  this->connections.Sweep(now);
+  dispatch::ForgetOld(this->targets_book, now);
+  if (this->is_draining) this->StepShutdown();
+}
+
+void Server::WatchControl(TimePoint now) {
+  const Duration silence = follow::SilentFor(this->follower, now);
+  if (silence >= kControlSilence && !this->control_lost_at) {
+    this->control_lost_at = now;
+    events::Log({.number = Number::kControlLost, .duration = silence});
+  }
+  if (silence < kControlSilence && this->control_lost_at) {
+    events::Log({.number = Number::kControlRegained,
+                 .duration = now - *this->control_lost_at});
+    this->control_lost_at.reset();
+    this->in_contact_since = now;
+  }
+}
+
+// ForgetTargets forgets silent targets only while coordinators are heard.
+void Server::ForgetTargets(TimePoint now) {
+  const bool judges =
+      !this->control_lost_at &&
+      now - this->in_contact_since >= this->directory.options.silence;
+  if (!judges) return;
+  for (const TargetId& silent : directory::Forget(this->directory, now)) {
+    events::Log({.number = Number::kTargetLost, .target = silent});
+  }
+}
+
+void Server::SendPolls(TimePoint now) {
+  const routes::TableVersion version =
+      this->table == nullptr ? routes::TableVersion()
+                             : this->table->table.version;
+  for (const InstanceId& to : follow::TakeDuePolls(this->follower, now)) {
+    this->peers->Send(
+        this->PeerAddress(to),
+        wire::Encode(follow::PollOf(this->follower, to, version)));
+  }
+}
+
+void Server::OnPacket(const wire::Opened& opened) {
+  wire::leaf::try_handle_all(
+      [&]() -> wire::leaf::result<void> {
+        if (opened.packet.kind == wire::Kind::kFollowUpdate) {
+          BOOST_LEAF_AUTO(update, wire::Decode<follow::Update>(opened.packet));
+          this->OnUpdate(opened.from, update);
+        } else if (opened.packet.kind == wire::Kind::kTableUpdate) {
+          BOOST_LEAF_AUTO(update,
+                          wire::Decode<follow::TableUpdate>(opened.packet));
+          this->InstallTable(opened.from, std::move(update.table));
+        }
+        return {};
+      },
+      [&] {
+        events::Log({.number = Number::kPacketRefused,
+                     .peer = opened.from,
+                     .reason = "malformed"});
+      });
+}
+
+void Server::OnUpdate(const InstanceId& from, const follow::Update& update) {
+  const TimePoint now = Now();
+  const follow::Heard heard =
+      follow::Merge(this->follower, from, update, this->directory, now);
+  for (const TargetId& target : heard.arrived) {
+    const auto& known = this->directory.entries.at(target).announcement;
+    events::Log({.number = Number::kTargetAnnounced,
+                 .target = target,
+                 .service = known.service,
+                 .peer = from,
+                 .address = known.address.ToText()});
+    // A new run has none of the old run's failures.
+    this->targets_book.records.erase(target);
+  }
+  for (const TargetId& target : heard.leaving) {
+    const auto& known = this->directory.entries.at(target).announcement;
+    events::Log({.number = Number::kTargetLeaving,
+                 .target = target,
+                 .service = known.service,
+                 .peer = from,
+                 .address = known.address.ToText()});
+  }
+  if (heard.poll_again) this->SendPolls(now);
+}
+
+void Server::InstallTable(const InstanceId& from, routes::RouteTable newer) {
+  const bool is_newer =
+      this->table == nullptr || newer.version > this->table->table.version;
+  if (!is_newer) return;
+  events::Log({.number = Number::kTableInForce,
+               .peer = from,
+               .revision = Revision(newer.version.value),
+               .count = static_cast<int64_t>(newer.routes.size())});
+  this->table = std::make_shared<const routes::RouteIndex>(
+      routes::BuildIndex(std::move(newer)));
+}
+
+net::SocketAddress Server::PeerAddress(const InstanceId& instance) const {
+  return {.ip = instance.value, .port = this->settings.peer_port};
+}
+
+routes::CallerLimits Server::limits() const {
+  return this->table == nullptr ? routes::CallerLimits()
+                                : this->table->table.limits;
+}
+
+void Server::Forget(Session& session) {
+  this->sessions.erase(session.shared_from_this());
+}
+
+void Server::BeginShutdown(std::function<void()> done) {
+  if (this->is_draining) return;
+  this->is_draining = true;
+  this->shutdown_at = Now();
+  this->shutdown_done = std::move(done);
+  events::Log({.number = Number::kShutdownStarted,
+               .count = static_cast<int64_t>(this->sessions.size())});
+}
+
+void Server::StepShutdown() {
+  const Duration since = Now() - this->shutdown_at;
+  if (since < kLeavesRotation) return;
+  const auto open = this->sessions;  // closing changes the set
+  for (const std::shared_ptr<Session>& session : open) session->CloseIfIdle();
+  const bool late = since >= this->settings.grace - kShutdownMargin;
+  if (!this->sessions.empty() && !late) return;
+  if (this->shutdown_done) std::exchange(this->shutdown_done, {})();
+}
+
+}  // namespace samphirebank::gateway
--- /dev/null
+++ b/samphirebank/gateway/targets.cc
@@ -0,0 +1,148 @@
+// What a gateway knows of targets, and its part of the repeat budget.
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+#include "samphirebank/events/events.h"
+#include "samphirebank/gateway/internal/server.h"
+
+namespace samphirebank::gateway {
+namespace {
+
+using events::Number;
+using std::chrono::milliseconds;
+
+// Other gateways may not be counted yet: only this part of the fleet's
+// allowance is shared out.
+constexpr double kAllowanceUsed = 0.8;
+// Likewise of the ratio: requests that were counted here may have been counted
+// by callers in another window.
+constexpr double kRatioUsed = 0.9;
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+std::optional<ChosenTarget> Server::ChooseTarget(const ServiceId& service,
+                                                 const dispatch::Work& work,
+                                                 TimePoint now) {
+  const auto ready = directory::ReadyTargets(this->directory, service);
+  std::vector<dispatch::Candidate> candidates;
+  candidates.reserve(ready.size());
+  for (const directory::Announcement* target : ready) {
+    candidates.push_back({.id = target->id,
+                          .distance = this->DistanceTo(target->zone),
+                          .slots = target->slots});
+  }
+  const auto chosen =
+      dispatch::Choose(this->targets_book, candidates, work, now);
+  if (!chosen) return std::nullopt;
+  return ChosenTarget{.id = ready[*chosen]->id,
+                      .address = ready[*chosen]->address};
+}
+
+dispatch::Distance Server::DistanceTo(const ZoneId& zone) const {
+  if (zone == this->settings.identity.zone) {
+    return dispatch::Distance::kSameZone;
+  }
+  const auto found = this->regions.find(zone);
+  const bool same_region = found != this->regions.end() &&
+                           found->second == this->settings.identity.region;
+  return same_region ? dispatch::Distance::kSameRegion
+                     : dispatch::Distance::kOtherRegion;
+}
+
+std::string Server::LoadText(const TargetId& target, TimePoint now) const {
+  const auto found = this->targets_book.records.find(target);
+  if (found == this->targets_book.records.end()) return "first request";
+  const dispatch::Record& record = found->second;
+  std::string text = "own in flight " + std::to_string(record.in_flight);
+  if (!record.load) return text;
+  const auto age =
+      std::chrono::duration_cast<milliseconds>(now - record.load_at);
+  return text + ", target said " + std::to_string(record.load->running) +
+         " running " + std::to_string(record.load->waiting) + " waiting " +
+         std::to_string(age.count()) + " ms ago";
+}
+
+void Server::NoteSendEnd(const TargetId& target, dispatch::Ending ending) {
+  const TimePoint now = Now();
+  const TimePoint before = this->targets_book.records[target].ejected_until;
+  dispatch::NoteEnd(this->targets_book, target, ending, now);
+  const dispatch::Record& record = this->targets_book.records[target];
+  if (record.ejected_until == before) return;
+  this->metrics.passed_over.Add(1);
+  events::Log({.number = Number::kTargetPassedOver,
+               .target = target,
+               .duration = record.ejected_until - now,
+               .count = record.failures_in_row,
+               .reason = "failed"});
+}
+
+void Server::NoteUnreachable(const TargetId& target,
+                             const net::SocketAddress& address) {
+  const TimePoint now = Now();
+  dispatch::NoteUnreachable(this->targets_book, target, now);
+  this->connections.CloseAll(address);
+  this->metrics.unreachable.Add(1);
+  const dispatch::Record& record = this->targets_book.records[target];
+  events::Log({.number = Number::kTargetPassedOver,
+               .target = target,
+               .duration = record.ejected_until - now,
+               .count = record.failures_in_row,
+               .address = address.ToText(),
+               .reason = "unreachable"});
+}
+
+forwarding::BudgetOptions Server::BudgetOptions() const {
+  const double gateways = std::max<uint32_t>(this->follower.gateways, 1);
+  return {.window = this->settings.repeat_window,
+          .ratio = kRatioUsed * this->settings.repeat_percent / 100.0,
+          .allowance =
+              kAllowanceUsed * this->settings.repeat_allowance / gateways};
+}
+
+void Server::NoteServiceRequest(const ServiceId& service) {
+  forwarding::NoteRequest(this->budgets[service], this->BudgetOptions(), Now());
+}
+
+bool Server::MayRepeat(const ServiceId& service, TimePoint now) const {
+  const auto found = this->budgets.find(service);
+  return found != this->budgets.end() &&
+         forwarding::MayRepeat(found->second, this->BudgetOptions(), now);
+}
+
+void Server::NoteRepeat(const ServiceId& service) {
+  this->metrics.repeats.Add(1);
+  forwarding::NoteRepeat(this->budgets[service], this->BudgetOptions(), Now());
+}
+
+void Server::NoteUnreadable(int status) {
+  this->metrics.unreadable.Add(1);
+  events::Log({.number = Number::kRequestRefused,
+               .status = status,
+               .outcome = "not-run",
+               .reason = "unreadable"});
+}
+
+void Server::NoteOutcome(Outcome outcome, Duration latency) {
+  this->metrics.outcomes[static_cast<size_t>(outcome)]->Add(1);
+  if (outcome == Outcome::kServed) this->metrics.first_answer.Record(latency);
+}
+
+web::Answer Server::MetricsText() {
+  const auto number = [](auto value) { return static_cast<double>(value); };
+  const std::chrono::duration<double> silence =
+      follow::SilentFor(this->follower, Now());
+  this->metrics.sessions.Set(number(this->sessions.size()));
+  this->metrics.idle_connections.Set(number(this->connections.size()));
+  this->metrics.targets.Set(number(this->directory.entries.size()));
+  this->metrics.table_version.Set(
+      this->table == nullptr ? 0 : number(this->table->table.version.value));
+  this->metrics.control_silence.Set(silence.count());
+  return {.status = 200,
+          .headers = {{"content-type", "text/plain; version=0.0.4"}},
+          .body = this->metrics.registry.ToText()};
+}
+
+}  // namespace samphirebank::gateway
--- /dev/null
+++ b/samphirebank/link/link.cc
@@ -0,0 +1,160 @@
+#include "samphirebank/link/link.h"
+
+#include <sodium.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+#include "samphirebank/events/events.h"
+#include "samphirebank/web/web.h"
+
+namespace samphirebank::link {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+constexpr size_t kDatagramBytes = 64 << 10;
+constexpr Duration kConnectLimit = std::chrono::seconds(1);
+// Larger messages on their way to one peer; more are dropped.
+constexpr uint32_t kMostTransfers = 4;
+constexpr int kDatagramsPerTurn = 64;
+
+BootId RandomBoot() {
+  uint64_t number = 0;
+  randombytes_buf(&number, sizeof(number));
+  return BootId(number);
+}
+
+}  // namespace
+
+struct Link::Impl {
+  Impl(asio::io_context& event_loop, Options given)
+      : loop(event_loop),
+        options(std::move(given)),
+        datagrams(event_loop),
+        datagram_sealer(this->options.key, this->options.self, RandomBoot()),
+        transfer_sealer(this->options.key, this->options.self, RandomBoot()),
+        opener(this->options.key),
+        listener(event_loop, this->options.address,
+                 [this](std::shared_ptr<web::Connection> connection) {
+                   this->Receive(std::move(connection));
+                 }) {
+    error_code error;
+    const udp::endpoint endpoint(
+        asio::ip::make_address_v4(this->options.address.ip),
+        this->options.address.port);
+    this->datagrams.open(endpoint.protocol(), error);
+    if (!error) this->datagrams.bind(endpoint, error);
+    if (error) {
+      throw std::runtime_error("cannot bind UDP " +
+                               this->options.address.ToText() + ": " +
+                               error.message());
+    }
+    this->datagrams.non_blocking(true);
+    this->WaitForDatagrams();
+  }
+
+  void WaitForDatagrams() {
+    this->datagrams.async_wait(udp::socket::wait_read,
+                               [this](const error_code& error) {
+                                 if (error) return;
+                                 this->ReadDatagrams();
+                                 this->WaitForDatagrams();
+                               });
+  }
+
+  void ReadDatagrams() {
+    static std::array<char, kDatagramBytes> buffer;
+    for (int i = 0; i < kDatagramsPerTurn; ++i) {
+      udp::endpoint from;
+      error_code error;
+      const size_t count =
+          this->datagrams.receive_from(asio::buffer(buffer), from, 0, error);
+      if (error) return;
+      this->Deliver({buffer.data(), count});
+    }
+  }
+
+  void Receive(std::shared_ptr<web::Connection> connection) {
+    const std::weak_ptr<web::Connection> weak = connection;
+    connection->Start(
+        [weak] {
+          const auto open = weak.lock();
+          if (open && open->input().size() > net::kMaxPeerMessage) {
+            open->Close();
+          }
+        },
+        [this, weak](web::End end) {
+          const auto open = weak.lock();
+          if (open && end == web::End::kClosed) this->Deliver(open->input());
+        });
+  }
+
+  void Deliver(std::string_view bytes) {
+    wire::leaf::try_handle_all(
+        [&]() -> wire::leaf::result<void> {
+          BOOST_LEAF_AUTO(opened, this->opener.Open(bytes));
+          events::Observe({.wall_ms = opened.packet.clock_ms,
+                           .logical = opened.packet.clock_logical});
+          this->options.on_packet(opened);
+          return {};
+        },
+        [] { events::Log({.number = events::Number::kPacketRefused}); });
+  }
+
+  void Transfer(const net::SocketAddress& to, std::string bytes) {
+    uint32_t& running = this->transfers[to];
+    if (running >= kMostTransfers) return;
+    ++running;
+    web::Connect(
+        this->loop, to, kConnectLimit,
+        [this, to, bytes = std::move(bytes)](
+            const std::shared_ptr<web::Connection>& connection) {
+          --this->transfers[to];
+          if (connection == nullptr) return;
+          connection->Send(bytes);
+          connection->CloseAfterSending();
+        });
+  }
+
+  asio::io_context& loop;
+  Options options;
+  udp::socket datagrams;
+  // The two ways have numbers of their own: one overtakes the other.
+  wire::Sealer datagram_sealer;
+  wire::Sealer transfer_sealer;
+  wire::Opener opener;
+  web::Listener listener;
+  std::map<net::SocketAddress, uint32_t> transfers;
+};
+
+Link::Link(asio::io_context& loop, Options options)
+    : impl(std::make_unique<Impl>(loop, std::move(options))) {}
+
+Link::~Link() = default;
+
+void Link::Send(const net::SocketAddress& to, wire::Packet packet) {
+  const events::Stamp stamp = events::CurrentStamp();
+  packet.clock_ms = stamp.wall_ms;
+  packet.clock_logical = stamp.logical;
+  const size_t room = net::kMaxDatagram - 128;  // for the seal and the names
+  if (packet.payload.size() > room) {
+    return this->impl->Transfer(to, this->impl->transfer_sealer.Seal(packet));
+  }
+  const std::string bytes = this->impl->datagram_sealer.Seal(packet);
+  const udp::endpoint endpoint(asio::ip::make_address_v4(to.ip), to.port);
+  error_code error;
+  this->impl->datagrams.send_to(asio::buffer(bytes), endpoint, 0, error);
+  // A datagram that does not leave is lost like any other.
+}
+
+}  // namespace samphirebank::link
--- a/samphirebank/settings/flag_kinds.cc
+++ b/samphirebank/settings/flag_kinds.cc
@@ -206,10 +206,29 @@
                             into));
 }
 
-std::vector<Flag> OutputFlags(std::string* log_file, std::string* ports_file) {
-  Flag log = TextFlag("log-file", "file that events are appended to", log_file);
+Flag ListenFlag(std::string name, std::string help, net::SocketAddress* into) {
+  return Flag{.name = std::move(name),
+              .argument = "IP:PORT",
+              .help = std::move(help),
+              .allowed = kAddressAllowed,
+              .required = true,
+              .take = [into](const std::string& value) {
+                const auto address = ParseAddress(value);
+                if (address) *into = *address;
+                return address.has_value();
+              }};
+}
+
+Flag LogFileFlag(std::string* into) {
+  Flag log = TextFlag(
+      "log-file", "file that events are appended to; - is standard output",
+      into);
   log.default_value = "standard error";
-  return {std::move(log),
+  return log;
+}
+
+std::vector<Flag> OutputFlags(std::string* log_file, std::string* ports_file) {
+  return {LogFileFlag(log_file),
           TextFlag("ports-file",
                    "file that receives the ports in use, as JSON, once the "
                    "process serves",
--- a/samphirebank/settings/flags.cc
+++ b/samphirebank/settings/flags.cc
@@ -228,12 +228,16 @@
     auto* names = new std::set<std::string>();
     RouterSettings router;
     ControlSettings control;
+    GatewaySettings gateway;
+    CoordinatorSettings coordinator;
     OperatorSettings operators;
     EmulatorSettings emulator;
     LoadSettings load;
     TimelineSettings timeline;
     AddVariables(RouterTable(&router), names);
     AddVariables(ControlTable(&control), names);
+    AddVariables(GatewayTable(&gateway), names);
+    AddVariables(CoordinatorTable(&coordinator), names);
     AddVariables(OperatorTable(&operators), names);
     AddVariables(EmulatorTable(&emulator), names);
     AddVariables(LoadTable(&load), names);
--- /dev/null
+++ b/samphirebank/settings/gateway.cc
@@ -0,0 +1,96 @@
+#include <algorithm>
+#include <set>
+
+#include "samphirebank/settings/internal/flags.h"
+
+namespace samphirebank::settings {
+namespace internal {
+namespace {
+
+bool TakeZone(const std::string& value, std::vector<ZoneInRegion>* zones) {
+  const size_t equals = value.find('=');
+  if (equals == std::string::npos) return false;
+  const std::string zone = value.substr(0, equals);
+  const std::string region = value.substr(equals + 1);
+  if (!IsName(zone) || !IsName(region)) return false;
+  zones->push_back({.zone = ZoneId(zone), .region = RegionId(region)});
+  return true;
+}
+
+}  // namespace
+
+FlagTable GatewayTable(GatewaySettings* into) {
+  FlagTable table{.usage = "samphirebank gateway [flags]",
+                  .summary =
+                      "Runs an entry instance that forwards requests by the "
+                      "route table."};
+  Append(&table, IdentityFlags(&into->identity));
+  Append(
+      &table,
+      {ListenFlag("caller-address", "where callers connect",
+                  &into->caller_address),
+       ListenFlag("ready-address", "where the balancer asks for readiness",
+                  &into->ready_address),
+       PortFlag("peer-port",
+                "the port for other instances, UDP and TCP; the same on all",
+                &into->peer_port),
+       PortFlag("metrics-port", "the port for metrics", &into->metrics_port),
+       Required(AddressesFlag("seed", "control address of a coordinator",
+                              &into->seeds)),
+       Flag{.name = "zone-region",
+            .argument = "ZONE=REGION",
+            .help = "the region of an availability zone; name all zones",
+            .allowed = "availability zone=region",
+            .repeated = true,
+            .take = [into](
+                        const std::string& value) {
+              return TakeZone(value, &into->zones);
+            }},
+       FleetKeyFlag(&into->fleet_key),
+       MillisecondsFlag("grace-ms",
+                        "how long a shutdown may take before the process is "
+                        "killed",
+                        {.low = 1000, .high = 3'600'000}, &into->grace),
+       MillisecondsFlag("repeat-window-ms",
+                        "the window in which repeated sends are counted",
+                        {.low = 1000, .high = 600'000}, &into->repeat_window),
+       NumberFlag("repeat-percent",
+                  "repeated sends allowed, in percent of a service's requests",
+                  {.high = 100}, &into->repeat_percent),
+       NumberFlag("repeat-allowance",
+                  "repeated sends allowed besides, of the whole fleet",
+                  {.high = 1'000'000}, &into->repeat_allowance),
+       LogFileFlag(&into->log_file)});
+  return table;
+}
+
+}  // namespace internal
+
+namespace {
+
+void CheckGateway(const GatewaySettings& settings, Findings* findings) {
+  std::set<ZoneId> zones;
+  for (const ZoneInRegion& item : settings.zones) {
+    if (zones.insert(item.zone).second) continue;
+    findings->Add("--zone-region", item.zone.value,
+                  "each availability zone once");
+  }
+  if (settings.caller_address == settings.ready_address) {
+    findings->Add("--caller-address, --ready-address", "",
+                  "two different addresses");
+  }
+}
+
+}  // namespace
+
+Parsed<GatewaySettings> ParseGateway(const Arguments& arguments,
+                                     const Environment& environment) {
+  return internal::ParseTable<GatewaySettings>(
+      internal::GatewayTable, {}, arguments, environment, CheckGateway);
+}
+
+std::string GatewayHelp() {
+  return internal::HelpOf<GatewaySettings>(internal::GatewayTable);
+}
+
+}  // namespace samphirebank::settings
--- a/samphirebank/settings/internal/flags.h
+++ b/samphirebank/settings/internal/flags.h
@@ -135,6 +135,9 @@
               }};
 }
 
+// ListenFlag stores an address to listen on.
+Flag ListenFlag(std::string name, std::string help, net::SocketAddress* into);
+
 // Required marks a flag as required.
 Flag Required(Flag flag);
 
@@ -146,6 +149,9 @@
 Flag TargetTokenFlag(Secret* into);
 Flag OperatorTokenFlag(Secret* into);
 
+// LogFileFlag is --log-file; "-" is standard output.
+Flag LogFileFlag(std::string* into);
+
 // OutputFlags are --log-file and --ports-file.
 std::vector<Flag> OutputFlags(std::string* log_file, std::string* ports_file);
 
@@ -156,6 +162,8 @@
 // stores in `into`.
 FlagTable RouterTable(RouterSettings* into);
 FlagTable ControlTable(ControlSettings* into);
+FlagTable GatewayTable(GatewaySettings* into);
+FlagTable CoordinatorTable(CoordinatorSettings* into);
 FlagTable OperatorTable(OperatorSettings* into);
 FlagTable EmulatorTable(EmulatorSettings* into);
 FlagTable LoadTable(LoadSettings* into);
--- a/samphirebank/settings/settings.h
+++ b/samphirebank/settings/settings.h
@@ -115,6 +115,47 @@
   std::string ports_file = {};
 };
 
+// ZoneInRegion says which region an availability zone lies in.
+struct ZoneInRegion {
+  ZoneId zone = {};
+  RegionId region = {};
+
+  friend bool operator==(const ZoneInRegion&, const ZoneInRegion&) = default;
+};
+
+// GatewaySettings are the settings of `samphirebank gateway`.
+struct GatewaySettings {
+  Identity identity = {};
+  net::SocketAddress caller_address = {};  // callers connect here
+  net::SocketAddress ready_address = {};   // the balancer asks here
+  uint16_t peer_port = 8082;               // the same on all instances
+  uint16_t metrics_port = 8081;
+  std::vector<net::SocketAddress> seeds = {};  // some coordinators
+  std::vector<ZoneInRegion> zones = {};
+  Secret fleet_key = {};
+  Duration grace = std::chrono::milliseconds(8000);  // a shutdown's length
+  // In any window, at most so many percent of a service's requests, and an
+  // allowance of the whole fleet, arrive at targets again.
+  Duration repeat_window = std::chrono::milliseconds(10'000);
+  uint32_t repeat_percent = 20;
+  uint32_t repeat_allowance = 0;
+  std::string log_file = {};
+};
+
+// CoordinatorSettings are the settings of `samphirebank coordinator`.
+struct CoordinatorSettings {
+  Identity identity = {};
+  net::SocketAddress control_address = {};  // operators and targets call here
+  uint16_t peer_port = 8082;
+  uint16_t metrics_port = 8081;
+  std::vector<net::SocketAddress> seeds = {};  // some control addresses
+  std::string data_folder = {};
+  bool first_start = false;       // the whole fleet starts for the first time
+  uint32_t losses_tolerated = 1;  // instances that may be lost at once
+  Secret fleet_key = {};
+  std::string log_file = {};
+};
+
 // OperatorVerb is what an operator command asks for.
 enum class OperatorVerb : uint8_t {
   kContractPut,
@@ -218,6 +259,10 @@
                                    const Environment& environment);
 Parsed<ControlSettings> ParseControl(const Arguments& arguments,
                                      const Environment& environment);
+Parsed<GatewaySettings> ParseGateway(const Arguments& arguments,
+                                     const Environment& environment);
+Parsed<CoordinatorSettings> ParseCoordinator(const Arguments& arguments,
+                                             const Environment& environment);
 Parsed<OperatorSettings> ParseOperator(OperatorVerb verb,
                                        const Arguments& arguments,
                                        const Environment& environment);
@@ -232,6 +277,8 @@
 // variable, default and allowed values.
 std::string RouterHelp();
 std::string ControlHelp();
+std::string GatewayHelp();
+std::string CoordinatorHelp();
 std::string OperatorHelp(OperatorVerb verb);
 std::string EmulatorHelp();
 std::string LoadHelp();
--- a/samphirebank/settings/settings_test.cc
+++ b/samphirebank/settings/settings_test.cc
@@ -129,5 +129,37 @@
   CHECK(help.find("Default: 3000") != std::string::npos);
 }
 
+Arguments GatewayArguments() {
+  return {"--instance", "g1", "--region", "south", "--availability-zone", "a",
+          "--caller-address", "127.0.0.1:1", "--ready-address", "127.0.0.1:2"};
+}
+
+TEST_CASE("a gateway reads lists from variables") {
+  Environment environment = Secrets();
+  environment.variables["SAMPHIREBANK_SEED"] = "10.0.0.1:1,10.0.0.2:1";
+  environment.variables["SAMPHIREBANK_ZONE_REGION"] = "a=south,b=north";
+  const auto parsed = ParseGateway(GatewayArguments(), environment);
+  INFO(parsed.findings.ToText());
+  REQUIRE(parsed.findings.empty());
+  CHECK(parsed.settings.seeds.size() == 2);
+  REQUIRE(parsed.settings.zones.size() == 2);
+  CHECK(parsed.settings.zones[1].region == RegionId("north"));
+  environment.variables["SAMPHIREBANK_ZONE_REGION"] = "a=south,a=north";
+  CHECK(Names(ParseGateway(GatewayArguments(), environment).findings,
+              "--zone-region"));
+}
+
+TEST_CASE("a coordinator must be told whether the fleet is new") {
+  const Arguments arguments = {
+      "--instance", "c1", "--region", "south", "--availability-zone", "a",
+      "--control-address", "127.0.0.1:1", "--data-folder", "x",
+      "--seed", "10.0.0.1:1"};
+  CHECK(Names(ParseCoordinator(arguments, Secrets()).findings,
+              "--first-start"));
+  Arguments told = arguments;
+  told.insert(told.end(), {"--first-start", "true"});
+  CHECK(ParseCoordinator(told, Secrets()).settings.first_start);
+}
+
 }  // namespace
 }  // namespace samphirebank::settings
--- /dev/null
+++ b/samphirebank/web/connection.cc
@@ -0,0 +1,237 @@
+#include <netinet/tcp.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/socket_base.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "samphirebank/web/web.h"
+
+namespace samphirebank::web {
+namespace {
+
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+// Bytes that stay unacknowledged this long break the connection.
+constexpr Duration kUnacknowledgedLimit = milliseconds(2000);
+constexpr Duration kLinger = milliseconds(1000);
+// After a failed accept, for example without free descriptors.
+constexpr Duration kAcceptRetry = milliseconds(100);
+constexpr size_t kReadBytes = 64 << 10;
+
+// Reads are short, so that all connections can share one buffer.
+std::array<char, kReadBytes>& SharedBuffer() {
+  static std::array<char, kReadBytes> buffer;
+  return buffer;
+}
+
+using UserTimeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+void SetOptions(tcp::socket& socket) {
+  error_code ignored;  // NOLINT: an option that is refused changes no promise
+  socket.non_blocking(true, ignored);
+  socket.set_option(tcp::no_delay(true), ignored);
+  const auto limit =
+      std::chrono::duration_cast<milliseconds>(kUnacknowledgedLimit);
+  socket.set_option(UserTimeout(static_cast<int>(limit.count())), ignored);
+}
+
+tcp::endpoint EndpointOf(const net::SocketAddress& address) {
+  return {asio::ip::make_address_v4(address.ip), address.port};
+}
+
+}  // namespace
+
+Connection::Connection(tcp::socket connected)
+    : socket(std::move(connected)), linger_timer(this->socket.get_executor()) {
+  SetOptions(this->socket);
+}
+
+void Connection::Start(std::function<void()> on_data,
+                       std::function<void(End)> on_end) {
+  this->data_handler = std::move(on_data);
+  this->end_handler = std::move(on_end);
+  this->WaitToRead();
+}
+
+void Connection::WaitToRead() {
+  if (this->reading || this->paused || this->closed()) return;
+  this->reading = true;
+  this->socket.async_wait(
+      tcp::socket::wait_read,
+      [self = this->shared_from_this()](const error_code& error) {
+        self->reading = false;
+        if (!error) self->OnReadable();
+      });
+}
+
+void Connection::OnReadable() {
+  if (this->closed() || this->paused) return;
+  error_code error;
+  const size_t count =
+      this->socket.read_some(asio::buffer(SharedBuffer()), error);
+  if (error == asio::error::would_block) return this->WaitToRead();
+  if (error) {
+    return this->Fail(error == asio::error::eof ? End::kClosed : End::kBroken);
+  }
+  if (!this->lingering) {
+    this->received.append(SharedBuffer().data(), count);
+    const auto handler = this->data_handler;
+    if (handler) handler();
+  }
+  this->WaitToRead();
+}
+
+void Connection::Fail(End end) {
+  const auto handler = std::exchange(this->end_handler, {});
+  const bool tell = !this->lingering;
+  this->Close();
+  if (tell && handler) handler(end);
+}
+
+void Connection::Send(std::string_view bytes) {
+  if (this->closed() || this->closing) return;
+  this->outgoing.append(bytes);
+  if (!this->writing) this->WriteSome();
+}
+
+void Connection::WriteSome() {
+  error_code error;
+  if (!this->outgoing.empty()) {
+    const size_t count =
+        this->socket.write_some(asio::buffer(this->outgoing), error);
+    this->outgoing.erase(0, count);
+  }
+  // A broken connection shows when it is read.
+  if (error && error != asio::error::would_block) return;
+  if (!this->outgoing.empty()) return this->WaitToWrite();
+  if (this->closing) this->BeginLinger();
+}
+
+void Connection::WaitToWrite() {
+  this->writing = true;
+  this->socket.async_wait(
+      tcp::socket::wait_write,
+      [self = this->shared_from_this()](const error_code& error) {
+        self->writing = false;
+        if (error || self->closed()) return;
+        self->WriteSome();
+        const auto handler = self->drained_handler;
+        if (self->outgoing.empty() && handler) handler();
+      });
+}
+
+void Connection::OnDrained(std::function<void()> action) {
+  this->drained_handler = std::move(action);
+}
+
+void Connection::Pause() { this->paused = true; }
+
+void Connection::Resume() {
+  if (!std::exchange(this->paused, false)) return;
+  this->WaitToRead();
+}
+
+void Connection::CloseAfterSending() {
+  if (this->closed() || this->closing) return;
+  this->closing = true;
+  if (!this->writing) this->WriteSome();
+}
+
+void Connection::BeginLinger() {
+  error_code error;
+  this->socket.shutdown(tcp::socket::shutdown_send, error);
+  if (error) return this->Close();
+  this->lingering = true;
+  this->data_handler = {};
+  this->end_handler = {};
+  this->drained_handler = {};
+  this->received.clear();
+  this->linger_timer.expires_after(kLinger);
+  this->linger_timer.async_wait(
+      [self = this->shared_from_this()](const error_code& stopped) {
+        if (!stopped) self->Close();
+      });
+  this->Resume();
+  this->WaitToRead();
+}
+
+void Connection::Close() {
+  if (this->closed()) return;
+  error_code ignored;  // NOLINT: the descriptor is released in any case
+  this->socket.close(ignored);
+  this->linger_timer.cancel();
+  this->data_handler = {};
+  this->end_handler = {};
+  this->drained_handler = {};
+}
+
+void Connect(asio::io_context& loop, const net::SocketAddress& to,
+             Duration limit,
+             std::function<void(std::shared_ptr<Connection>)> done) {
+  struct Attempt {
+    tcp::socket socket;
+    asio::steady_timer timer;
+  };
+  auto attempt = std::make_shared<Attempt>(
+      Attempt{tcp::socket(loop), asio::steady_timer(loop)});
+  attempt->timer.expires_after(limit);
+  attempt->timer.async_wait([attempt](const error_code& stopped) {
+    error_code ignored;  // NOLINT: the pending connect reports the end
+    if (!stopped) attempt->socket.close(ignored);
+  });
+  attempt->socket.async_connect(
+      EndpointOf(to),
+      [attempt, done = std::move(done)](const error_code& error) {
+        attempt->timer.cancel();
+        if (error || !attempt->socket.is_open()) return done(nullptr);
+        done(std::make_shared<Connection>(std::move(attempt->socket)));
+      });
+}
+
+Listener::Listener(asio::io_context& loop, const net::SocketAddress& address,
+                   OnConnection handler)
+    : acceptor(loop), retry_timer(loop), on_connection(std::move(handler)) {
+  error_code error;
+  const tcp::endpoint endpoint = EndpointOf(address);
+  this->acceptor.open(endpoint.protocol(), error);
+  if (!error) this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+  if (!error) this->acceptor.bind(endpoint, error);
+  if (!error) {
+    this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    throw std::runtime_error("cannot listen on " + address.ToText() + ": " +
+                             error.message());
+  }
+  this->Accept();
+}
+
+void Listener::Accept() {
+  this->acceptor.async_accept(
+      [this](const error_code& error, tcp::socket accepted) {
+        if (error == asio::error::operation_aborted) return;
+        if (!error) {
+          this->on_connection(
+              std::make_shared<Connection>(std::move(accepted)));
+          return this->Accept();
+        }
+        this->retry_timer.expires_after(kAcceptRetry);
+        this->retry_timer.async_wait([this](const error_code& stopped) {
+          if (!stopped) this->Accept();
+        });
+      });
+}
+
+void Listener::Stop() {
+  error_code ignored;  // NOLINT: it accepts no more in any case
+  this->acceptor.close(ignored);
+  this->retry_timer.cancel();
+}
+
+}  // namespace samphirebank::web
--- /dev/null
+++ b/samphirebank/web/readers.cc
@@ -0,0 +1,138 @@
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/version.hpp>
+#include <cctype>
+#include <limits>
+#include <utility>
+
+#include "samphirebank/web/web.h"
+
+namespace samphirebank::web {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr uint32_t kAnswerHeadBytes = 64 << 10;
+
+template <typename Fields>
+Headers HeadersOf(const Fields& fields) {
+  Headers headers;
+  for (const auto& field : fields) {
+    std::string name(field.name_string());
+    std::ranges::transform(name, name.begin(), [](unsigned char letter) {
+      return static_cast<char>(std::tolower(letter));
+    });
+    headers.push_back({std::move(name), std::string(field.value())});
+  }
+  return headers;
+}
+
+ReadState StateOf(const error_code& error) {
+  if (error == http::error::need_more) return ReadState::kMore;
+  if (error == http::error::header_limit) return ReadState::kHeadTooLarge;
+  if (error == http::error::body_limit) return ReadState::kBodyTooLarge;
+  return ReadState::kMalformed;
+}
+
+// FeedParser feeds `input` to a parser and removes what it took.
+template <typename Parser>
+ReadState FeedParser(Parser& parser, std::string* input) {
+  while (!parser.is_done()) {
+    if (input->empty()) return ReadState::kMore;
+    error_code error;
+    const size_t taken = parser.put(boost::asio::buffer(*input), error);
+    input->erase(0, taken);
+    if (error) return StateOf(error);
+    if (taken == 0) return ReadState::kMore;
+  }
+  return ReadState::kWhole;
+}
+
+}  // namespace
+
+struct RequestReader::Impl {
+  http::request_parser<http::string_body> parser;
+};
+
+RequestReader::RequestReader(ReadLimits limits)
+    : impl(std::make_unique<Impl>()) {
+  this->impl->parser.eager(true);
+  this->impl->parser.header_limit(
+      static_cast<uint32_t>(std::min<uint64_t>(
+          limits.head_bytes, std::numeric_limits<uint32_t>::max())));
+  this->impl->parser.body_limit(limits.body_bytes);
+}
+
+RequestReader::~RequestReader() = default;
+
+ReadState RequestReader::Feed(std::string* input) {
+  return FeedParser(this->impl->parser, input);
+}
+
+bool RequestReader::head_done() const {
+  return this->impl->parser.is_header_done();
+}
+
+bool RequestReader::wants_continue() const {
+  const auto& parser = this->impl->parser;
+  if (!parser.is_header_done() || parser.is_done()) return false;
+  const auto expect = parser.get().find(http::field::expect);
+  return expect != parser.get().end() &&
+         boost::beast::iequals(expect->value(), "100-continue");
+}
+
+Request RequestReader::Take() {
+  http::request<http::string_body> message = this->impl->parser.release();
+  return {.method = std::string(message.method_string()),
+          .target = std::string(message.target()),
+          .headers = HeadersOf(message),
+          .body = std::move(message.body()),
+          .keep_alive = message.keep_alive()};
+}
+
+struct AnswerReader::Impl {
+  http::response_parser<http::string_body> parser;
+};
+
+AnswerReader::AnswerReader(bool to_head_request)
+    : impl(std::make_unique<Impl>()) {
+  this->impl->parser.eager(true);
+  this->impl->parser.header_limit(kAnswerHeadBytes);
+  this->impl->parser.body_limit(boost::none);
+  this->impl->parser.skip(to_head_request);
+}
+
+AnswerReader::~AnswerReader() = default;
+
+ReadState AnswerReader::Feed(std::string* input) {
+  return FeedParser(this->impl->parser, input);
+}
+
+ReadState AnswerReader::FeedEnd() {
+  if (this->impl->parser.is_done()) return ReadState::kWhole;
+  if (!this->impl->parser.got_some()) return ReadState::kMalformed;
+  error_code error;
+  this->impl->parser.put_eof(error);
+  const bool whole = !error && this->impl->parser.is_done();
+  return whole ? ReadState::kWhole : ReadState::kMalformed;
+}
+
+bool AnswerReader::head_done() const {
+  return this->impl->parser.is_header_done();
+}
+
+int AnswerReader::status() const {
+  return static_cast<int>(this->impl->parser.get().result_int());
+}
+
+Headers AnswerReader::TakeHeaders() {
+  return HeadersOf(this->impl->parser.get());
+}
+
+std::string AnswerReader::TakeBody() {
+  return std::exchange(this->impl->parser.get().body(), {});
+}
+
+}  // namespace samphirebank::web
--- /dev/null
+++ b/samphirebank/web/web.h
@@ -0,0 +1,243 @@
+// File: web.h
+//
+// HTTP/1.1 on Boost.Beast and Boost.Asio: readers of requests and answers that
+// are fed bytes and do no I/O, connections that are told what to send, and a
+// small server for whole requests.
+//
+// Thread rules: everything belongs to the thread that runs the io_context.
+//
+// Example:
+//
+//   Server server(loop, {.address = {"127.0.0.1", 8080},
+//       .on_request = [](const Request&, const Reply& reply) {
+//         reply({.status = 200, .body = "hello\n"});
+//       }});
+#ifndef SAMPHIREBANK_WEB_WEB_H_
+#define SAMPHIREBANK_WEB_WEB_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "samphirebank/base/base.h"
+#include "samphirebank/net/net.h"
+
+namespace samphirebank::web {
+
+namespace asio = boost::asio;
+using tcp = boost::asio::ip::tcp;
+
+// Headers are header fields with names in lower case.
+using Headers = std::vector<net::Header>;
+
+// ReadState says how far a reader is.
+enum class ReadState : uint8_t {
+  kMore,          // needs more bytes
+  kWhole,         // the message was read to its end
+  kMalformed,     // not HTTP, or with contradictory framing
+  kHeadTooLarge,  // above ReadLimits::head_bytes
+  kBodyTooLarge,  // above ReadLimits::body_bytes
+};
+
+// ReadLimits bound a message.
+struct ReadLimits {
+  uint64_t head_bytes = 16 << 10;
+  uint64_t body_bytes = 8 << 20;
+};
+
+// Request is a whole request.
+struct Request {
+  std::string method{};
+  std::string target{};  // path and query
+  Headers headers{};
+  std::string body{};
+  bool keep_alive = true;
+};
+
+// RequestReader reads one request.
+class RequestReader {
+ public:
+  explicit RequestReader(ReadLimits limits);
+  ~RequestReader();
+  RequestReader(const RequestReader&) = delete;
+  RequestReader& operator=(const RequestReader&) = delete;
+
+  // Feed takes bytes from the front of `input`, up to the request's end.
+  ReadState Feed(std::string* input);
+  // head_done says whether the head was read.
+  bool head_done() const;
+  // wants_continue says whether the head is read and the sender waits for a
+  // 100 before it sends the body.
+  bool wants_continue() const;
+  // Take returns the request after kWhole.
+  Request Take();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+// AnswerReader reads one answer, piece by piece.
+class AnswerReader {
+ public:
+  // Answers to HEAD have no body.
+  explicit AnswerReader(bool to_head_request = false);
+  ~AnswerReader();
+  AnswerReader(const AnswerReader&) = delete;
+  AnswerReader& operator=(const AnswerReader&) = delete;
+
+  // Feed takes bytes from the front of `input`, up to the answer's end.
+  ReadState Feed(std::string* input);
+  // FeedEnd tells that the sender closed its side in an orderly way. An answer
+  // without a stated length is whole then.
+  ReadState FeedEnd();
+  bool head_done() const;
+  int status() const;
+  Headers TakeHeaders();
+  // TakeBody returns what was read of the body since the last call.
+  std::string TakeBody();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+// Answer is a whole answer to send.
+struct Answer {
+  int status = 200;
+  Headers headers{};
+  std::string body{};
+};
+
+// EncodeAnswer returns the bytes of a whole answer.
+std::string EncodeAnswer(const Answer& answer, bool keep_alive);
+// EncodeChunkedHead returns the head of an answer whose body follows in
+// chunks.
+std::string EncodeChunkedHead(int status, const Headers& headers,
+                              bool keep_alive);
+// EncodeChunk returns one chunk; `piece` must not be empty.
+std::string EncodeChunk(std::string_view piece);
+// kLastChunk ends a chunked body.
+inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+// kContinue tells the sender to go on with the body.
+inline constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+// End says how a connection ended.
+enum class End : uint8_t {
+  kClosed,  // the other side closed it in an orderly way
+  kBroken,  // it was reset, or its bytes were no longer acknowledged
+};
+
+// Connection is a TCP connection with what was read and what is to be sent.
+// Handlers run from the loop, never inside a call of the owner. After Close no
+// handler runs.
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  explicit Connection(tcp::socket connected);
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  // Start begins to read, or goes on with other handlers. `on_data` runs when
+  // bytes were added to input().
+  void Start(std::function<void()> on_data, std::function<void(End)> on_end);
+  std::string& input() { return this->received; }
+
+  // Send writes as much as the connection takes now, and the rest later.
+  void Send(std::string_view bytes);
+  // queued is how many bytes wait to be written.
+  size_t queued() const { return this->outgoing.size(); }
+  // OnDrained sets what runs each time all that had to wait is out.
+  void OnDrained(std::function<void()> action);
+
+  // Pause holds back the sender by not reading; Resume goes on.
+  void Pause();
+  void Resume();
+  // CloseAfterSending sends what is queued, closes this side and drops what
+  // still comes, so that the other side gets to read the end.
+  void CloseAfterSending();
+  // Close ends it at once.
+  void Close();
+  bool closed() const { return !this->socket.is_open(); }
+
+ private:
+  void WaitToRead();
+  void OnReadable();
+  void WaitToWrite();
+  void WriteSome();
+  void Fail(End end);
+  void BeginLinger();
+
+  tcp::socket socket;
+  asio::steady_timer linger_timer;
+  std::string received;
+  std::string outgoing;
+  std::function<void()> data_handler;
+  std::function<void(End)> end_handler;
+  std::function<void()> drained_handler;
+  bool reading = false;
+  bool paused = false;
+  bool writing = false;
+  bool closing = false;  // once all is sent
+  bool lingering = false;
+};
+
+// Connect opens a connection. `done` gets null if none comes about in time.
+void Connect(asio::io_context& loop, const net::SocketAddress& to,
+             Duration limit,
+             std::function<void(std::shared_ptr<Connection>)> done);
+
+// Listener accepts connections. Throws std::runtime_error if the address
+// cannot be bound.
+class Listener {
+ public:
+  using OnConnection = std::function<void(std::shared_ptr<Connection>)>;
+  Listener(asio::io_context& loop, const net::SocketAddress& address,
+           OnConnection handler);
+  // Stop accepts no more.
+  void Stop();
+
+ private:
+  void Accept();
+
+  tcp::acceptor acceptor;
+  asio::steady_timer retry_timer;
+  OnConnection on_connection;
+};
+
+// Reply sends the answer to one request; call it once.
+using Reply = std::function<void(const Answer&)>;
+
+// ServerOptions says where to serve whole requests.
+struct ServerOptions {
+  net::SocketAddress address{};
+  ReadLimits limits{};
+  Duration idle_limit = std::chrono::seconds(30);
+  std::function<void(const Request&, const Reply&)> on_request{};
+};
+
+// Server serves whole requests, one after the other on each connection.
+class Server {
+ public:
+  Server(asio::io_context& loop, ServerOptions options);
+  ~Server();
+  void Stop();
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+// ReasonOf returns the standard phrase of a status.
+std::string ReasonOf(int status);
+
+}  // namespace samphirebank::web
+
+#endif  // SAMPHIREBANK_WEB_WEB_H_
--- /dev/null
+++ b/samphirebank/web/web_test.cc
@@ -0,0 +1,138 @@
+#include "samphirebank/web/web.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+namespace samphirebank::web {
+namespace {
+
+ReadState ReadAll(const std::string& text, Request* request = nullptr,
+                  ReadLimits limits = {}) {
+  RequestReader reader(limits);
+  std::string input = text;
+  const ReadState state = reader.Feed(&input);
+  if (state == ReadState::kWhole && request != nullptr) {
+    *request = reader.Take();
+  }
+  return state;
+}
+
+TEST_CASE("a request is read however its bytes arrive, and no further") {
+  const std::string text =
+      "POST /a?b=c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  for (size_t step = 1; step <= text.size(); ++step) {
+    RequestReader reader({});
+    std::string input;
+    ReadState state = ReadState::kMore;
+    for (size_t at = 0; at < text.size(); at += step) {
+      input += text.substr(at, step);
+      state = reader.Feed(&input);
+    }
+    CAPTURE(step);
+    REQUIRE(state == ReadState::kWhole);
+    const Request request = reader.Take();
+    CHECK(request.method == "POST");
+    CHECK(request.target == "/a?b=c");
+    CHECK(request.body == "abcde");
+    CHECK(request.headers[0].name == "host");
+  }
+  RequestReader reader({});
+  std::string two = "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n";
+  REQUIRE(reader.Feed(&two) == ReadState::kWhole);
+  CHECK(two == "GET /2 HTTP/1.1\r\n\r\n");
+}
+
+TEST_CASE("requests with doubtful framing are refused") {
+  for (const char* text :
+       {"GET / HTTP/1.1\nHost: x\n\n",
+        "GET / HTTP/1.1\r\nHost : x\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: "
+        "3\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: "
+        "4\r\n\r\nabcd",
+        "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"}) {
+    CAPTURE(text);
+    CHECK(ReadAll(text) == ReadState::kMalformed);
+  }
+}
+
+TEST_CASE("a request beyond the limits is told from a malformed one") {
+  const ReadLimits limits{.head_bytes = 200, .body_bytes = 10};
+  const std::string long_head =
+      "GET / HTTP/1.1\r\nX: " + std::string(300, 'x') + "\r\n\r\n";
+  CHECK(ReadAll(long_head, nullptr, limits) == ReadState::kHeadTooLarge);
+  CHECK(ReadAll("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n", nullptr,
+                limits) == ReadState::kBodyTooLarge);
+}
+
+TEST_CASE("a sender that waits for a 100 is noticed") {
+  RequestReader reader({});
+  std::string input =
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n";
+  CHECK(reader.Feed(&input) == ReadState::kMore);
+  CHECK(reader.wants_continue());
+}
+
+TEST_CASE("an answer is whole by its length, its chunks or its clean end") {
+  std::string input =
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK";
+  AnswerReader sized;
+  CHECK(sized.Feed(&input) == ReadState::kWhole);
+  CHECK(sized.TakeBody() == "abc");
+  CHECK(input == "HTTP/1.1 200 OK");
+
+  input = "HTTP/1.1 200 OK\r\n\r\nab";
+  AnswerReader unframed;
+  CHECK(unframed.Feed(&input) == ReadState::kMore);
+  CHECK(unframed.TakeBody() == "ab");
+  CHECK(unframed.FeedEnd() == ReadState::kWhole);
+
+  input = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n";
+  AnswerReader cut;
+  CHECK(cut.Feed(&input) == ReadState::kMore);
+  CHECK(cut.head_done());
+  CHECK(cut.TakeBody() == "ab");
+  CHECK(cut.FeedEnd() == ReadState::kMalformed);
+
+  AnswerReader silent;
+  CHECK(silent.FeedEnd() == ReadState::kMalformed);
+}
+
+TEST_CASE("pieces of a body come out as they come in") {
+  AnswerReader reader;
+  std::string input = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nab";
+  CHECK(reader.Feed(&input) == ReadState::kMore);
+  CHECK(reader.TakeBody() == "ab");
+  input = "cd";
+  CHECK(reader.Feed(&input) == ReadState::kMore);
+  CHECK(reader.TakeBody() == "cd");
+  input = "ef";
+  CHECK(reader.Feed(&input) == ReadState::kWhole);
+  CHECK(reader.TakeBody() == "ef");
+}
+
+TEST_CASE("what is encoded can be read") {
+  std::string input = EncodeAnswer(
+      {.status = 503, .headers = {{"retry-after", "0.5"}}, .body = "no\n"},
+      true);
+  AnswerReader reader;
+  REQUIRE(reader.Feed(&input) == ReadState::kWhole);
+  CHECK(reader.status() == 503);
+  CHECK(reader.TakeBody() == "no\n");
+
+  input = EncodeChunkedHead(200, {}, false) + EncodeChunk("hello") +
+          EncodeChunk(std::string(300, 'x')) + std::string(kLastChunk);
+  AnswerReader chunked;
+  REQUIRE(chunked.Feed(&input) == ReadState::kWhole);
+  CHECK(chunked.TakeBody() == "hello" + std::string(300, 'x'));
+}
+
+}  // namespace
+}  // namespace samphirebank::web
--- a/samphirebank/wire/wire.h
+++ b/samphirebank/wire/wire.h
@@ -65,6 +65,9 @@
   kOperatorForward = 11,  // control instance to leader
   kQuotaAsk = 12,         // pool scheduler to the coordinator of limits
   kQuotaGrant = 13,       // the answer: parts of organisations' limits
+  kFollowPoll = 14,       // gateway to coordinator: what is new?
+  kFollowUpdate = 15,     // the answer: targets, members, table version
+  kTableUpdate = 16,      // coordinator to gateway: a whole route table
 };
 
 // Packet is an encoded message with its kind.
