Refuse what is read too late in a shutdown; test the gateway on loopback

Ruled out: the drain itself (requests read before 3 s ended in time). Change: after 2.8 s a request is refused at once as not run. The test 'a shutdown ends what runs and refuses what comes too late' failed first (504 for 503).

--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -73,6 +73,10 @@
 }
 
 bool Exchange::Admit() {
+  if (!this->server.takes_requests(this->begun_at)) {
+    this->RefuseForNow("this instance shuts down");
+    return false;
+  }
   this->index = this->server.index();
   if (this->index == nullptr) {
     this->RefuseForNow("no route table is known yet");
@@ -159,7 +163,10 @@
   const web::Answer answer{.status = this->sending->status,
                            .headers = this->sending->head.passed_on,
                            .body = std::move(this->sending->body)};
-  this->sending.reset();
+  constexpr int kFirstServerError = 500;
+  this->EndSending(answer.status >= kFirstServerError
+                       ? dispatch::Ending::kFailed
+                       : dispatch::Ending::kGood);
   this->Close();
   this->session.Reply(answer);
 }
@@ -227,7 +234,7 @@
                       .service = this->service,
                       .duration = this->Elapsed(),
                       .count = this->progress.sends};
-  if (this->sending) event.target = this->sending->target;
+  event.target = this->last_target;
   return event;
 }
 
--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -98,6 +98,7 @@
   forwarding::Progress progress;
   forwarding::EventStream stream;
   std::optional<Sending> sending;
+  TargetId last_target;
   boost::asio::steady_timer limit_timer;
   TimePoint begun_at;
   Duration time_limit{};
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -58,10 +58,15 @@
   }
   routes::CallerLimits limits() const;
   bool draining() const { return this->is_draining; }
+  // takes_requests says whether a request that is read now has time to end
+  // before the process has to.
+  bool takes_requests(TimePoint now) const;
   dispatch::Book& book() { return this->targets_book; }
   TargetPool& pool() { return this->connections; }
   void Forget(Session& session);
 
+  // ReadyCount is how many targets of a service take new work.
+  size_t ReadyCount(const ServiceId& service) const;
   std::optional<ChosenTarget> ChooseTarget(const ServiceId& service,
                                            const dispatch::Work& work,
                                            TimePoint now);
--- /dev/null
+++ b/samphirebank/gateway/loopback_fixture.cc
@@ -0,0 +1,248 @@
+#include "samphirebank/gateway/loopback_fixture.h"
+
+#include <doctest/doctest.h>
+#include <sodium.h>
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "platform/platform.h"
+#include "samphirebank/wire/wire.h"
+
+namespace samphirebank::gateway {
+namespace {
+
+using routes::Milliseconds;
+using routes::Repetition;
+using std::chrono::seconds;
+
+constexpr Duration kPatience = seconds(10);
+constexpr uint16_t kPeerPort = 46'100;
+constexpr uint16_t kCallerPort = 46'101;
+constexpr uint16_t kReadyPort = 46'102;
+constexpr uint16_t kMetricsPort = 46'103;
+constexpr uint16_t kFirstTargetPort = 46'110;
+// Loopback has many addresses, so that the peers can share one port.
+constexpr char kGatewayIp[] = "127.0.0.1";
+constexpr char kCoordinatorIp[] = "127.0.0.2";
+const std::string kKey(64, 'a');
+
+routes::Route MakeRoute(const std::string& name, Repetition repetition) {
+  const bool streamed = name == "stream" || name == "resume";
+  return {.id = routes::RouteId(name),
+          .host = "shop.example",
+          .path_prefix = "/" + name + "/",
+          .streamed = streamed,
+          .repetition = repetition,
+          .time_limit = Milliseconds(10'000),
+          .latency_target = Milliseconds(500),
+          .pause_target = Milliseconds(300),
+          .attempts = 2,
+          .prompt_affinity = streamed,
+          .shares = {{.service = ServiceId(streamed ? "engine" : "plain"),
+                      .weight = 1}}};
+}
+
+routes::RouteTable Table() {
+  return {.version = routes::TableVersion(1),
+          .routes = {MakeRoute("stream", Repetition::kNever),
+                     MakeRoute("resume", Repetition::kResume),
+                     MakeRoute("again", Repetition::kAgain),
+                     MakeRoute("once", Repetition::kNever)},
+          .services = {{.id = ServiceId("engine"), .batch_slots = 64},
+                       {.id = ServiceId("plain")}},
+          .organisations = {{.id = OrganisationId("o1"), .api_keys = {"k1"}}},
+          .keys_required = true};
+}
+
+settings::GatewaySettings Settings() {
+  return {.identity = {.instance = InstanceId("g1"),
+                       .region = RegionId("r"),
+                       .zone = ZoneId("z"),
+                       .address = kGatewayIp},
+          .caller_address = {.ip = kGatewayIp, .port = kCallerPort},
+          .ready_address = {.ip = kGatewayIp, .port = kReadyPort},
+          .peer_port = kPeerPort,
+          .metrics_port = kMetricsPort,
+          .seeds = {{.ip = kCoordinatorIp, .port = kPeerPort}},
+          .zones = {{.zone = ZoneId("z"), .region = RegionId("r")}},
+          .fleet_key = {.value = kKey},
+          .grace = seconds(5),
+          .repeat_allowance = 20};
+}
+
+}  // namespace
+
+FakeTarget::FakeTarget(boost::asio::io_context& loop, uint16_t port,
+                       Script given)
+    : address{.ip = kGatewayIp, .port = port},
+      script(std::move(given)),
+      listener(loop, this->address,
+               [this](const std::shared_ptr<web::Connection>& connection) {
+                 this->Serve(connection);
+               }) {}
+
+void FakeTarget::Serve(const std::shared_ptr<web::Connection>& connection) {
+  auto reader = std::make_shared<std::unique_ptr<web::RequestReader>>(
+      std::make_unique<web::RequestReader>(web::ReadLimits{}));
+  connection->Start(
+      [this, connection, reader] { this->Read(connection, reader.get()); },
+      [this](web::End) { ++this->closed_by_gateway; });
+}
+
+void FakeTarget::Read(const std::shared_ptr<web::Connection>& connection,
+                      std::unique_ptr<web::RequestReader>* reader) {
+  const web::ReadState state = (*reader)->Feed(&connection->input());
+  if (state == web::ReadState::kMore) return;
+  REQUIRE(state == web::ReadState::kWhole);
+  this->arrivals.push_back(
+      {.request = (*reader)->Take(), .connection = connection});
+  *reader = std::make_unique<web::RequestReader>(web::ReadLimits{});
+  this->script(this->arrivals.back());
+}
+
+FakeCaller::FakeCaller(boost::asio::io_context& loop,
+                       const net::SocketAddress& to)
+    : reader(std::make_unique<web::AnswerReader>()) {
+  web::Connect(loop, to, seconds(1),
+               [this](std::shared_ptr<web::Connection> opened) {
+                 REQUIRE(opened != nullptr);
+                 this->connection = std::move(opened);
+                 this->connection->Start(
+                     [this] { this->Read(); },
+                     [this](web::End) {
+                       this->answers.push_back({.closed = true});
+                     });
+                 this->connection->Send(this->unsent);
+               });
+}
+
+FakeCaller::~FakeCaller() {
+  if (this->connection != nullptr) this->connection->Close();
+}
+
+void FakeCaller::Send(const std::string& bytes) {
+  if (this->connection == nullptr) {
+    this->unsent += bytes;
+  } else {
+    this->connection->Send(bytes);
+  }
+}
+
+void FakeCaller::Leave() { this->connection->Close(); }
+
+void FakeCaller::Read() {
+  while (!this->connection->input().empty()) {
+    const web::ReadState state =
+        this->reader->Feed(&this->connection->input());
+    REQUIRE((state == web::ReadState::kMore ||
+             state == web::ReadState::kWhole));
+    if (!this->reader->head_done()) return;
+    if (this->answers.empty() || this->answers.back().whole) {
+      this->answers.push_back({.status = this->reader->status(),
+                               .headers = this->reader->TakeHeaders()});
+    }
+    this->answers.back().body += this->reader->TakeBody();
+    if (state != web::ReadState::kWhole) return;
+    this->answers.back().whole = true;
+    this->reader = std::make_unique<web::AnswerReader>();
+  }
+}
+
+Loopback::Loopback()
+    : dialect(platform::MakeDialect()),
+      caller_address{.ip = kGatewayIp, .port = kCallerPort} {
+  REQUIRE(sodium_init() >= 0);
+  this->StartCoordinator();
+  this->gateway =
+      std::make_unique<Server>(this->loop, Settings(), this->dialect);
+  this->Until([this] { return this->gateway->index() != nullptr; });
+}
+
+Loopback::~Loopback() = default;
+
+void Loopback::StartCoordinator() {
+  this->coordinator = std::make_unique<link::Link>(
+      this->loop,
+      link::Options{
+          .address = {.ip = kCoordinatorIp, .port = kPeerPort},
+          .key = *wire::ParseFleetKey(kKey),
+          .self = InstanceId(kCoordinatorIp),
+          .on_packet = [this](const wire::Opened& opened) {
+            if (opened.packet.kind != wire::Kind::kFollowPoll) return;
+            const auto poll = wire::Decode<follow::Poll>(opened.packet);
+            REQUIRE(poll.has_value());
+            const net::SocketAddress to{.ip = kGatewayIp, .port = kPeerPort};
+            auto changes = directory::ChangesSince(
+                this->directory, poll->cursor, follow::kMostAnnouncements);
+            this->coordinator->Send(
+                to, wire::Encode(follow::Update{
+                        .answerer = BootId(1),
+                        .cursor = changes.cursor,
+                        .announcements = std::move(changes.announcements),
+                        .table = routes::TableVersion(1),
+                        .gateways = 1}));
+            if (poll->table < routes::TableVersion(1)) {
+              this->coordinator->Send(
+                  to, wire::Encode(follow::TableUpdate{.table = Table()}));
+            }
+          }});
+}
+
+void Loopback::Until(const std::function<bool()>& done) {
+  const TimePoint give_up = std::chrono::steady_clock::now() + kPatience;
+  while (!done()) {
+    REQUIRE(std::chrono::steady_clock::now() < give_up);
+    this->loop.run_one_for(std::chrono::milliseconds(100));
+  }
+}
+
+void Loopback::RunFor(Duration span) { this->loop.run_for(span); }
+
+FakeTarget& Loopback::AddTarget(const std::string& service,
+                                FakeTarget::Script script) {
+  const size_t number = this->targets.size();
+  this->targets.push_back(std::make_unique<FakeTarget>(
+      this->loop, static_cast<uint16_t>(kFirstTargetPort + number),
+      std::move(script)));
+  directory::Hear(this->directory,
+                  {.id = TargetId("t" + std::to_string(number)),
+                   .service = ServiceId(service),
+                   .address = this->targets.back()->address,
+                   .zone = ZoneId("z"),
+                   .slots = 64,
+                   .born_ms = 1,
+                   .sequence = 1},
+                  std::chrono::steady_clock::now());
+  const ServiceId id(service);
+  const auto before = this->gateway->ReadyCount(id);
+  this->Until([&] { return this->gateway->ReadyCount(id) > before; });
+  return *this->targets.back();
+}
+
+std::unique_ptr<FakeCaller> Loopback::Call() {
+  return std::make_unique<FakeCaller>(this->loop, this->caller_address);
+}
+
+std::string Loopback::Request(const std::string& path,
+                              const std::string& more_headers) {
+  static int number = 0;
+  return "POST " + path + " HTTP/1.1\r\nHost: shop.example\r\n" +
+         "X-Api-Key: k1\r\nSamphirebank-Request-Id: q" +
+         std::to_string(++number) + "\r\n" + more_headers +
+         "Content-Length: 2\r\n\r\nhi";
+}
+
+std::string Loopback::Answer(const Arrival& arrival, int status,
+                             const std::string& body,
+                             const std::string& more_headers) {
+  const auto id = net::FindHeader(arrival.request.headers,
+                                  "samphirebank-request-id");
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nSamphirebank-Request-Id: " + id.value_or("") +
+         "\r\nSamphirebank-Response-Seal: s\r\n" + more_headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace samphirebank::gateway
--- /dev/null
+++ b/samphirebank/gateway/loopback_fixture.h
@@ -0,0 +1,114 @@
+// File: loopback_fixture.h
+//
+// For tests: a gateway on loopback with a stand-in coordinator, stand-in
+// targets whose answers a test writes byte by byte, and a caller. All run on
+// one loop; a test runs it until a condition holds.
+#ifndef SAMPHIREBANK_GATEWAY_LOOPBACK_FIXTURE_H_
+#define SAMPHIREBANK_GATEWAY_LOOPBACK_FIXTURE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "samphirebank/dialect/dialect.h"
+#include "samphirebank/gateway/internal/server.h"
+#include "samphirebank/link/link.h"
+#include "samphirebank/web/web.h"
+
+namespace samphirebank::gateway {
+
+// Arrival is a request that reached a stand-in target.
+struct Arrival {
+  web::Request request{};
+  std::shared_ptr<web::Connection> connection{};
+};
+
+// FakeTarget answers as its script says.
+class FakeTarget {
+ public:
+  using Script = std::function<void(const Arrival&)>;
+  FakeTarget(boost::asio::io_context& loop, uint16_t port, Script given);
+
+  net::SocketAddress address{};
+  std::vector<Arrival> arrivals{};
+  int closed_by_gateway = 0;
+
+ private:
+  void Serve(const std::shared_ptr<web::Connection>& connection);
+  void Read(const std::shared_ptr<web::Connection>& connection,
+            std::unique_ptr<web::RequestReader>* reader);
+
+  Script script;
+  web::Listener listener;
+};
+
+// Received is what a caller got.
+struct Received {
+  bool whole = false;   // by its framing
+  bool closed = false;  // the gateway closed the connection
+  int status = 0;
+  web::Headers headers{};
+  std::string body{};
+};
+
+// FakeCaller is one caller's connection.
+class FakeCaller {
+ public:
+  FakeCaller(boost::asio::io_context& loop, const net::SocketAddress& to);
+  ~FakeCaller();
+  void Send(const std::string& bytes);
+  void Leave();
+
+  std::vector<Received> answers{};
+
+ private:
+  void Read();
+
+  std::shared_ptr<web::Connection> connection;
+  std::unique_ptr<web::AnswerReader> reader;
+  std::string unsent;
+};
+
+// Loopback is a gateway with its surroundings.
+class Loopback {
+ public:
+  Loopback();
+  ~Loopback();
+
+  // Until runs the loop until `done` holds; fails the test after some seconds.
+  void Until(const std::function<bool()>& done);
+  // RunFor runs the loop for a time.
+  void RunFor(Duration span);
+
+  // AddTarget starts a target of the service "engine" or "plain" and waits
+  // until the gateway knows it.
+  FakeTarget& AddTarget(const std::string& service, FakeTarget::Script script);
+  std::unique_ptr<FakeCaller> Call();
+  // Request returns the bytes of a request on a route: "/stream/", "/resume/",
+  // "/again/" or "/once/".
+  static std::string Request(const std::string& path,
+                             const std::string& more_headers = "");
+  // Answer returns the bytes of a target's answer to a request.
+  static std::string Answer(const Arrival& arrival, int status,
+                            const std::string& body,
+                            const std::string& more_headers = "");
+
+  boost::asio::io_context loop{1};
+  dialect::Dialect dialect{};
+  std::unique_ptr<Server> gateway{};
+  net::SocketAddress caller_address{};
+
+ private:
+  void StartCoordinator();
+  void Announce(const directory::Announcement& announcement);
+
+  std::unique_ptr<link::Link> coordinator;
+  directory::Directory directory;
+  std::vector<std::unique_ptr<FakeTarget>> targets;
+};
+
+}  // namespace samphirebank::gateway
+
+#endif  // SAMPHIREBANK_GATEWAY_LOOPBACK_FIXTURE_H_
--- /dev/null
+++ b/samphirebank/gateway/loopback_test.cc
@@ -0,0 +1,263 @@
+// Plays targets that misbehave and callers that leave, and checks what callers
+// and targets get.
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+#include "samphirebank/gateway/loopback_fixture.h"
+
+namespace samphirebank::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kEventOne = "id: 1\ndata: a\n\n";
+const std::string kEventTwo = "id: 2\ndata: b\n\n";
+const std::string kEventThree = "id: 3\ndata: c\n\n";
+
+FakeTarget::Script Replies(int status, const std::string& body,
+                           const std::string& headers = "") {
+  return [=](const Arrival& arrival) {
+    arrival.connection->Send(Loopback::Answer(arrival, status, body, headers));
+  };
+}
+
+// StreamHead begins a chunked answer.
+std::string StreamHead(const Arrival& arrival) {
+  std::string head = Loopback::Answer(arrival, 200, "");
+  const size_t length = head.find("Content-Length");
+  return head.substr(0, length) + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+// OneAnswer sends a request and returns what the caller got for it.
+Received OneAnswer(Loopback& fleet, const std::string& path,
+                   const std::string& headers = "") {
+  auto caller = fleet.Call();
+  caller->Send(Loopback::Request(path, headers));
+  fleet.Until([&] {
+    return !caller->answers.empty() &&
+           (caller->answers.back().whole || caller->answers.back().closed);
+  });
+  return caller->answers.front();
+}
+
+TEST_CASE("an answer is passed on whole, and the connection is used again") {
+  Loopback fleet;
+  FakeTarget& target = fleet.AddTarget("plain", Replies(200, "hello"));
+  auto caller = fleet.Call();
+  // The second request is sent before the first is answered.
+  caller->Send(Loopback::Request("/once/a?x=1") + Loopback::Request("/once/b"));
+  fleet.Until([&] {
+    return caller->answers.size() == 2 && caller->answers.back().whole;
+  });
+  CHECK(caller->answers[0].body == "hello");
+  REQUIRE(target.arrivals.size() == 2);
+  CHECK(target.arrivals[0].request.target == "/once/a?x=1");
+  CHECK(target.arrivals[0].request.body == "hi");
+  CHECK(net::FindHeader(target.arrivals[0].request.headers,
+                        "samphirebank-tenant") == "o1");
+  CHECK(target.arrivals[0].connection == target.arrivals[1].connection);
+}
+
+TEST_CASE("what is not allowed is refused, and reaches no target") {
+  Loopback fleet;
+  FakeTarget& target = fleet.AddTarget("plain", Replies(200, "hello"));
+  CHECK(OneAnswer(fleet, "/nowhere/").status == 404);
+  auto caller = fleet.Call();
+  caller->Send("GET /once/ HTTP/1.1\r\nHost: shop.example\r\n"
+               "Samphirebank-Request-Id: x\r\nX-Api-Key: wrong\r\n\r\n");
+  fleet.Until([&] { return !caller->answers.empty(); });
+  CHECK(caller->answers[0].status == 401);
+  CHECK(target.arrivals.empty());
+}
+
+TEST_CASE("a service without targets is refused with a time to come back") {
+  Loopback fleet;
+  const Received answer = OneAnswer(fleet, "/once/");
+  CHECK(answer.status == 503);
+  CHECK(net::FindHeader(answer.headers, "retry-after"));
+}
+
+TEST_CASE("a failure of an idempotent request is tried at another target") {
+  Loopback fleet;
+  int failures = 0;
+  const auto script = [&](const Arrival& arrival) {
+    const int status = failures++ == 0 ? 500 : 200;
+    arrival.connection->Send(Loopback::Answer(arrival, status, "x"));
+  };
+  FakeTarget& first = fleet.AddTarget("plain", script);
+  FakeTarget& second = fleet.AddTarget("plain", script);
+  CHECK(OneAnswer(fleet, "/again/").status == 200);
+  CHECK(first.arrivals.size() == 1);
+  CHECK(second.arrivals.size() == 1);
+}
+
+TEST_CASE("a non-idempotent request whose connection breaks runs once") {
+  Loopback fleet;
+  const auto script = [](const Arrival& arrival) {
+    arrival.connection->Close();
+  };
+  FakeTarget& first = fleet.AddTarget("plain", script);
+  FakeTarget& second = fleet.AddTarget("plain", script);
+  CHECK(OneAnswer(fleet, "/once/").status == 502);
+  CHECK(first.arrivals.size() + second.arrivals.size() == 1);
+}
+
+TEST_CASE("a target that did not run a request is told from one that did") {
+  Loopback fleet;
+  fleet.AddTarget("plain",
+                  Replies(503, "full", "Samphirebank-Not-Executed: 1\r\n"));
+  const Received refused = OneAnswer(fleet, "/once/");
+  CHECK(refused.status == 503);
+  CHECK(net::FindHeader(refused.headers, "retry-after"));
+  CHECK_FALSE(net::FindHeader(refused.headers, "samphirebank-response-seal"));
+}
+
+TEST_CASE("a promise that the target does not state is not passed on") {
+  Loopback fleet;
+  fleet.AddTarget("plain", Replies(503, "hm"));
+  CHECK(OneAnswer(fleet, "/once/").status == 502);
+}
+
+TEST_CASE("an answer to another request is skipped") {
+  Loopback fleet;
+  fleet.AddTarget("plain", [](const Arrival& arrival) {
+    arrival.connection->Send(
+        "HTTP/1.1 200 OK\r\nSamphirebank-Request-Id: other\r\n"
+        "Samphirebank-Response-Seal: s\r\nContent-Length: 5\r\n\r\nwrong");
+    arrival.connection->Send(Loopback::Answer(arrival, 200, "right"));
+  });
+  CHECK(OneAnswer(fleet, "/once/").body == "right");
+}
+
+TEST_CASE("bytes after an answer end the connection") {
+  Loopback fleet;
+  FakeTarget& target = fleet.AddTarget("plain", [](const Arrival& arrival) {
+    arrival.connection->Send(Loopback::Answer(arrival, 200, "right") +
+                             "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+  });
+  CHECK(OneAnswer(fleet, "/once/").body == "right");
+  CHECK(OneAnswer(fleet, "/once/").body == "right");
+  CHECK(target.arrivals[0].connection != target.arrivals[1].connection);
+}
+
+TEST_CASE("an unsigned, encoded or unframed and broken answer is no success") {
+  Loopback fleet;
+  std::string bytes;
+  fleet.AddTarget("plain", [&](const Arrival& arrival) {
+    const auto id = net::FindHeader(arrival.request.headers,
+                                    "samphirebank-request-id");
+    arrival.connection->Send("HTTP/1.1 200 OK\r\nSamphirebank-Request-Id: " +
+                             *id + "\r\n" + bytes);
+    arrival.connection->CloseAfterSending();
+  });
+  for (const char* rest :
+       {"Content-Length: 1\r\n\r\nx",
+        "Samphirebank-Response-Seal: s\r\nContent-Encoding: gzip\r\n"
+        "Content-Length: 1\r\n\r\nx",
+        "Samphirebank-Response-Seal: s\r\nContent-Length: 9\r\n\r\nx",
+        "Samphirebank-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\nx\r\n"}) {
+    CAPTURE(rest);
+    bytes = rest;
+    CHECK(OneAnswer(fleet, "/once/").status == 502);
+  }
+  bytes = "Samphirebank-Response-Seal: s\r\n\r\nwhole";
+  CHECK(OneAnswer(fleet, "/once/").body == "whole");
+}
+
+TEST_CASE("a cut stream goes on at another target, within one answer") {
+  Loopback fleet;
+  int sends = 0;
+  std::string second_after;
+  const auto script = [&](const Arrival& arrival) {
+    arrival.connection->Send(StreamHead(arrival));
+    if (sends++ == 0) {
+      arrival.connection->Send(web::EncodeChunk(kEventOne + "id: 2\nda"));
+      return arrival.connection->CloseAfterSending();
+    }
+    second_after =
+        net::FindHeader(arrival.request.headers, "last-event-id").value_or("");
+    arrival.connection->Send(web::EncodeChunk(kEventTwo + kEventThree) +
+                             std::string(web::kLastChunk));
+  };
+  fleet.AddTarget("engine", script);
+  fleet.AddTarget("engine", script);
+  const Received answer = OneAnswer(fleet, "/resume/");
+  CHECK(answer.whole);
+  CHECK(answer.body == kEventOne + kEventTwo + kEventThree);
+  CHECK(second_after == "1");
+}
+
+TEST_CASE("a cut stream that cannot go on does not look whole") {
+  Loopback fleet;
+  FakeTarget& target = fleet.AddTarget("engine", [](const Arrival& arrival) {
+    arrival.connection->Send(StreamHead(arrival));
+    arrival.connection->Send(web::EncodeChunk(kEventOne + "id: 2\nda"));
+    arrival.connection->CloseAfterSending();
+  });
+  const Received answer = OneAnswer(fleet, "/stream/");
+  CHECK_FALSE(answer.whole);
+  CHECK(answer.body == kEventOne);
+  CHECK(target.arrivals.size() == 1);
+}
+
+TEST_CASE("a caller that leaves ends the work at the target") {
+  Loopback fleet;
+  FakeTarget& target =
+      fleet.AddTarget("engine", [](const Arrival&) { /* no answer */ });
+  auto caller = fleet.Call();
+  caller->Send(Loopback::Request("/stream/"));
+  fleet.Until([&] { return target.arrivals.size() == 1; });
+  caller->Leave();
+  fleet.Until([&] { return target.closed_by_gateway == 1; });
+}
+
+TEST_CASE("a request that is not answered in time gets its final answer") {
+  Loopback fleet;
+  fleet.AddTarget("plain", [](const Arrival&) { /* no answer */ });
+  const Received answer =
+      OneAnswer(fleet, "/once/", "Samphirebank-Deadline-Ms: 300\r\n");
+  CHECK(answer.status == 504);
+}
+
+TEST_CASE("a shutdown ends what runs and refuses what comes too late") {
+  Loopback fleet;
+  std::vector<Arrival> waiting;
+  fleet.AddTarget("plain", [&](const Arrival& arrival) {
+    waiting.push_back(arrival);
+  });
+  auto running = fleet.Call();
+  running->Send(Loopback::Request("/once/"));
+  auto kept = fleet.Call();
+  fleet.Until([&] { return waiting.size() == 1; });
+  bool done = false;
+  fleet.gateway->BeginShutdown([&] { done = true; });
+  CHECK(fleet.gateway->draining());
+
+  // Callers that the balancer still sends are served, and told to go.
+  kept->Send(Loopback::Request("/once/"));
+  fleet.Until([&] { return waiting.size() == 2; });
+  waiting[1].connection->Send(Loopback::Answer(waiting[1], 200, "served"));
+  fleet.Until([&] { return !kept->answers.empty(); });
+  CHECK(kept->answers[0].body == "served");
+  CHECK(net::FindHeader(kept->answers[0].headers, "connection") == "close");
+
+  // One that comes so late that it may not end is told so at once.
+  fleet.RunFor(milliseconds(2900));
+  auto late = fleet.Call();
+  late->Send(Loopback::Request("/once/"));
+  fleet.Until([&] { return !late->answers.empty(); });
+  CHECK(late->answers[0].status == 503);
+  CHECK(waiting.size() == 2);
+
+  CHECK_FALSE(done);
+  waiting[0].connection->Send(Loopback::Answer(waiting[0], 200, "kept"));
+  fleet.Until([&] { return done; });
+  CHECK(running->answers[0].body == "kept");
+}
+
+}  // namespace
+}  // namespace samphirebank::gateway
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -36,6 +36,7 @@
 }
 
 constexpr int kWrongTarget = 421;
+constexpr int kFirstServerError = 500;
 
 }  // namespace
 
@@ -49,6 +50,7 @@
     return this->RefuseForNow("no target");
   }
   this->sending = Sending{.target = chosen->id, .address = chosen->address};
+  this->last_target = chosen->id;
   const bool once =
       this->progress.repetition == routes::Repetition::kNever;
   auto kept = this->server.pool().Take(chosen->address,
@@ -279,14 +281,11 @@
   const Next next = forwarding::Decide(
       this->progress, end, this->server.MayRepeat(this->service, now));
   const bool ran = end == SendEnd::kBroken || end == SendEnd::kAnswered;
-  if (next == Next::kPassOn) {
-    const bool fault = this->sending->status >= 500;
-    this->server.NoteSendEnd(this->sending->target,
-                             fault ? Ending::kFailed : Ending::kGood);
-    return this->PassOn();
-  }
+  if (next == Next::kPassOn) return this->PassOn();
   if (end == SendEnd::kAnswered && this->sending) {
-    this->EndSending(Ending::kFailed);
+    this->EndSending(this->sending->status >= kFirstServerError
+                         ? Ending::kFailed
+                         : Ending::kGood);
   }
   if (ran) this->progress.may_have_run = true;
   switch (next) {
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -22,6 +22,8 @@
 constexpr Duration kControlSilence = std::chrono::seconds(3);
 // The balancer asks once a second and takes an instance out after two misses.
 constexpr Duration kLeavesRotation = milliseconds(3000);
+// Requests that come later may not end before the process is killed.
+constexpr Duration kTakesRequests = milliseconds(2800);
 // Kept for closing connections before the process is killed.
 constexpr Duration kShutdownMargin = milliseconds(300);
 
@@ -242,6 +244,10 @@
                .count = static_cast<int64_t>(this->sessions.size())});
 }
 
+bool Server::takes_requests(TimePoint now) const {
+  return !this->is_draining || now - this->shutdown_at < kTakesRequests;
+}
+
 void Server::StepShutdown() {
   const Duration since = Now() - this->shutdown_at;
   if (since < kLeavesRotation) return;
--- a/samphirebank/gateway/targets.cc
+++ b/samphirebank/gateway/targets.cc
@@ -23,6 +23,10 @@
 
 }  // namespace
 
+size_t Server::ReadyCount(const ServiceId& service) const {
+  return directory::ReadyTargets(this->directory, service).size();
+}
+
 std::optional<ChosenTarget> Server::ChooseTarget(const ServiceId& service,
                                                  const dispatch::Work& work,
                                                  TimePoint now) {
