--- /dev/null
+++ b/samphirebank/admission/admission.cc
@@ -0,0 +1,34 @@
+#include "samphirebank/admission/admission.h"
+
+#include <algorithm>
+
+namespace samphirebank::admission {
+namespace {
+
+Duration Part(Duration whole, double part) {
+  return std::chrono::duration_cast<Duration>(whole * part);
+}
+
+}  // namespace
+
+bool Admits(const Options& options, const Question& question) {
+  if (question.wait <= options.idle) return true;
+  const double shares = question.used / question.level;
+  const double part = options.at_share / (shares * shares);
+  return question.wait <=
+         Part(question.latency_target, std::min(part, options.at_most));
+}
+
+Duration ReturnAfter(const Options& options, double used, double level,
+                     uint64_t seed) {
+  constexpr uint64_t kSteps = 1024;
+  const double shares = level > 0 ? std::min(used / level, 16.0) : 1.0;
+  const Duration middle =
+      std::min(options.last_return,
+               options.first_return + Part(options.return_step, shares));
+  const double spread =
+      0.75 + 0.5 * static_cast<double>(seed % kSteps) / kSteps;
+  return Part(middle, spread);
+}
+
+}  // namespace samphirebank::admission
--- /dev/null
+++ b/samphirebank/admission/admission.h
@@ -0,0 +1,60 @@
+// File: admission.h
+//
+// Whether a prompt is sent to an engine now or refused at once. An engine
+// takes all that it is sent and reads prompts in the order of their arrival, so
+// what waits there can no longer be ordered: little may wait, and less of an
+// organisation that got more than its share lately. No I/O.
+//
+// The load it answers: a few organisations that ask for many times their share
+// beside others that ask for little, at engines that could not serve all.
+//
+// Example:
+//
+//   if (!Admits(options, {.latency_target = target, .wait = wait,
+//                         .used = used, .level = level})) {
+//     Refuse(ReturnAfter(options, used, level, seed));
+//   }
+#ifndef SAMPHIREBANK_ADMISSION_ADMISSION_H_
+#define SAMPHIREBANK_ADMISSION_ADMISSION_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "samphirebank/base/base.h"
+
+namespace samphirebank::admission {
+
+// Options of the decision.
+struct Options {
+  // The longest wait before a prompt is read, in parts of the latency target:
+  // of an organisation that used just its share, falling with the square of
+  // what it used, and of any.
+  double at_share = 0.4;
+  double at_most = 1.2;
+  // A target at which less waits takes any request: capacity must not idle.
+  Duration idle = std::chrono::milliseconds(8);
+  // When those who are refused come back.
+  Duration first_return = std::chrono::milliseconds(400);
+  Duration return_step = std::chrono::milliseconds(300);  // for each share used
+  Duration last_return = std::chrono::milliseconds(2500);
+};
+
+// Question is one prompt.
+struct Question {
+  Duration latency_target{};
+  Duration wait{};     // until the best target reads the prompt
+  double used = 0.0;   // by its organisation, tokens a second over the fleet
+  double level = 0.0;  // of a fair share, tokens a second
+};
+
+// Admits tells whether the prompt is sent.
+bool Admits(const Options& options, const Question& question);
+
+// ReturnAfter is when one that was refused should come back; `seed` spreads
+// those that were refused together.
+Duration ReturnAfter(const Options& options, double used, double level,
+                     uint64_t seed);
+
+}  // namespace samphirebank::admission
+
+#endif  // SAMPHIREBANK_ADMISSION_ADMISSION_H_
--- a/samphirebank/control/internal/operator_api.h
+++ b/samphirebank/control/internal/operator_api.h
@@ -13,9 +13,9 @@
 
 #include "samphirebank/base/base.h"
 #include "samphirebank/contracts/contracts.h"
-#include "samphirebank/replication/replication.h"
 #include "samphirebank/lease/lease.h"
 #include "samphirebank/net/net.h"
+#include "samphirebank/replication/replication.h"
 
 namespace samphirebank::control {
 
--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -107,10 +107,9 @@
 
 replication::Hooks Server::MakeHooks() {
   return {
-      .apply =
-          [this](LogIndex index, const std::string& entry) {
-            this->ApplyOne(index, entry);
-          },
+      .apply = [this](
+                   LogIndex index,
+                   const std::string& entry) { this->ApplyOne(index, entry); },
       .snapshot = [this] { return EncodeState(this->state); },
       .restore = [this](const std::string& bytes) { this->Restore(bytes); },
       .send =
@@ -159,8 +158,8 @@
   std::vector<std::string> entries;
   entries.push_back(std::move(entry));
   this->replication->Propose(
-      std::move(entries), [this, done = std::move(done)](ProposalResult result,
-                                                         LogIndex last) {
+      std::move(entries),
+      [this, done = std::move(done)](ProposalResult result, LogIndex last) {
         const auto found = this->results.extract(last);
         const bool kept =
             result == ProposalResult::kCommitted && !found.empty();
@@ -320,15 +319,14 @@
 }
 
 void Server::ProposeClaim(const claims::Command& command) {
-  this->Propose(
-      ClaimsEntry(command),
-      [this](ProposalResult result, const Applied& applied) {
-        const auto* reply = std::get_if<claims::ClaimReply>(&applied);
-        if (result != ProposalResult::kCommitted || reply == nullptr) return;
-        const auto owner = this->registry.heard.find(reply->id.owner.instance);
-        if (owner == this->registry.heard.end()) return;
-        this->SendTo(owner->second.who.address, wire::Encode(*reply));
-      });
+  this->Propose(ClaimsEntry(command), [this](ProposalResult result,
+                                             const Applied& applied) {
+    const auto* reply = std::get_if<claims::ClaimReply>(&applied);
+    if (result != ProposalResult::kCommitted || reply == nullptr) return;
+    const auto owner = this->registry.heard.find(reply->id.owner.instance);
+    if (owner == this->registry.heard.end()) return;
+    this->SendTo(owner->second.who.address, wire::Encode(*reply));
+  });
 }
 
 void Server::SendTo(const net::SocketAddress& to, wire::Packet packet) {
@@ -412,7 +410,7 @@
                  .peer = assign.assignment.holder,
                  .epoch = assign.assignment.epoch});
     this->Propose(ContractsEntry(command),
-                               [](ProposalResult, const Applied&) {});
+                  [](ProposalResult, const Applied&) {});
   }
 }
 
--- a/samphirebank/control/server_operators.cc
+++ b/samphirebank/control/server_operators.cc
@@ -94,20 +94,19 @@
   const bool repeated =
       contracts::RememberedOutcome(this->state.contracts, call.command)
           .has_value();
-  this->Propose(
-      ContractsEntry(call.command),
-      [this, stream, call, repeated](ProposalResult result,
-                                     const Applied& applied) {
-        const auto* outcome = std::get_if<contracts::Outcome>(&applied);
-        if (result == ProposalResult::kNotLeader) {
-          return stream->Reply(NotLeader(this->LeaderOperator()));
-        }
-        if (result != ProposalResult::kCommitted || outcome == nullptr) {
-          return stream->Reply(FailedWrite(result));
-        }
-        LogOutcome(call.command, *outcome, repeated);
-        this->FinishWrite(stream, call, *outcome);
-      });
+  this->Propose(ContractsEntry(call.command), [this, stream, call, repeated](
+                                                  ProposalResult result,
+                                                  const Applied& applied) {
+    const auto* outcome = std::get_if<contracts::Outcome>(&applied);
+    if (result == ProposalResult::kNotLeader) {
+      return stream->Reply(NotLeader(this->LeaderOperator()));
+    }
+    if (result != ProposalResult::kCommitted || outcome == nullptr) {
+      return stream->Reply(FailedWrite(result));
+    }
+    LogOutcome(call.command, *outcome, repeated);
+    this->FinishWrite(stream, call, *outcome);
+  });
 }
 
 void Server::FinishWrite(const Stream& stream, const OperatorCall& call,
--- a/samphirebank/coordinator/document.cc
+++ b/samphirebank/coordinator/document.cc
@@ -1,11 +1,10 @@
 #include "samphirebank/coordinator/internal/document.h"
 
 #include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
 #include <optional>
 #include <utility>
 
-#include <boost/leaf/handle_errors.hpp>
-
 #include "samphirebank/wire/wire.h"
 
 namespace samphirebank::coordinator {
--- a/samphirebank/coordinator/internal/server.h
+++ b/samphirebank/coordinator/internal/server.h
@@ -16,6 +16,7 @@
 #include "samphirebank/coordinator/internal/document.h"
 #include "samphirebank/dialect/dialect.h"
 #include "samphirebank/directory/directory.h"
+#include "samphirebank/fleetload/fleetload.h"
 #include "samphirebank/follow/follow.h"
 #include "samphirebank/link/link.h"
 #include "samphirebank/metrics/metrics.h"
@@ -87,6 +88,8 @@
   void OnUpdate(const InstanceId& from, const follow::Update& update);
   void SendUpdate(const InstanceId& to, const FollowerRecord& record);
   void SendTable(const InstanceId& to, FollowerRecord& record, TimePoint now);
+  void AnswerLoad(const InstanceId& from, fleetload::Load load);
+  void ShareLoad(TimePoint now);
   void PushUpdates();
   void PushTable();
   uint32_t GatewayCount(TimePoint now) const;
@@ -116,6 +119,7 @@
   directory::Directory directory;
   follow::Follower others;  // coordinators, to find the group
   std::map<InstanceId, FollowerRecord> followers;
+  fleetload::Aggregate loads;
   std::unique_ptr<link::Link> peers;
   std::unique_ptr<replication::Replication> replication;
   std::unique_ptr<web::Server> control_server;
--- a/samphirebank/coordinator/orders.cc
+++ b/samphirebank/coordinator/orders.cc
@@ -53,10 +53,8 @@
 }  // namespace
 
 void Server::OnRequest(const web::Request& request, const web::Reply& reply) {
-  dialect::DecodedOrder decoded =
-      this->dialect.decode_order({.method = request.method,
-                                  .path = request.target,
-                                  .body = request.body});
+  dialect::DecodedOrder decoded = this->dialect.decode_order(
+      {.method = request.method, .path = request.target, .body = request.body});
   const auto* beat = std::get_if<dialect::Heartbeat>(&decoded.order);
   if (!decoded.findings.empty()) {
     events::Log({.number = beat != nullptr ? events::Number::kTargetRefused
@@ -132,8 +130,8 @@
   if (!leader || this->replication->leads()) {
     return reply(ComeBack("no leader is known"));
   }
-  const net::SocketAddress address{
-      .ip = leader->value, .port = this->settings.control_address.port};
+  const net::SocketAddress address{.ip = leader->value,
+                                   .port = this->settings.control_address.port};
   web::Answer answer = Text(307, "");
   answer.headers.push_back(
       {"location", "http://" + address.ToText() + this->dialect.table_path});
--- a/samphirebank/coordinator/peers.cc
+++ b/samphirebank/coordinator/peers.cc
@@ -39,6 +39,19 @@
             this->OnUpdate(opened.from, update);
             break;
           }
+          case wire::Kind::kLoadReport: {
+            BOOST_LEAF_AUTO(report,
+                            wire::Decode<fleetload::LoadReport>(opened.packet));
+            this->AnswerLoad(opened.from, std::move(report.load));
+            break;
+          }
+          case wire::Kind::kLoadShare: {
+            BOOST_LEAF_AUTO(share,
+                            wire::Decode<fleetload::LoadShare>(opened.packet));
+            fleetload::NoteCoordinator(this->loads, opened.from,
+                                       std::move(share.load), Now());
+            break;
+          }
           default:
             break;
         }
@@ -57,8 +70,8 @@
   record.polled_at = now;
   record.table = poll.table;
   record.is_gateway = poll.is_gateway;
-  record.cursor = poll.answerer == this->boot ? poll.cursor
-                                              : directory::Cursor(0);
+  record.cursor =
+      poll.answerer == this->boot ? poll.cursor : directory::Cursor(0);
   this->SendUpdate(from, record);
   if (poll.is_gateway) this->SendTable(from, record, now);
 }
@@ -66,6 +79,8 @@
 void Server::SendUpdate(const InstanceId& to, const FollowerRecord& record) {
   follow::Update update{.answerer = this->boot,
                         .table = this->table.version,
+                        .zone = this->settings.identity.zone,
+                        .region = this->settings.identity.region,
                         .members = this->replication->members(),
                         .gateways = this->GatewayCount(Now())};
   if (record.is_gateway) {
@@ -90,6 +105,24 @@
                     wire::Encode(follow::TableUpdate{.table = this->table}));
 }
 
+void Server::AnswerLoad(const InstanceId& from, fleetload::Load load) {
+  const TimePoint now = Now();
+  fleetload::NoteGateway(this->loads, from, std::move(load), now);
+  this->peers->Send(this->PeerAddress(from),
+                    wire::Encode(fleetload::LoadSum{
+                        fleetload::SumWithout(this->loads, from, now)}));
+}
+
+void Server::ShareLoad(TimePoint now) {
+  fleetload::ForgetOld(this->loads, now);
+  if (this->loads.gateways.empty()) return;
+  const fleetload::LoadShare share{fleetload::OwnShare(this->loads, now)};
+  for (const InstanceId& member : this->replication->members()) {
+    if (member == this->self) continue;
+    this->peers->Send(this->PeerAddress(member), wire::Encode(share));
+  }
+}
+
 void Server::PushUpdates() {
   const TimePoint now = Now();
   for (const auto& [instance, record] : this->followers) {
--- a/samphirebank/coordinator/server.cc
+++ b/samphirebank/coordinator/server.cc
@@ -76,12 +76,11 @@
                                                    this->MakeHooks());
   this->control_server = std::make_unique<web::Server>(
       this->loop,
-      web::ServerOptions{
-          .address = given.control_address,
-          .on_request = [this](const web::Request& request,
-                               const web::Reply& reply) {
-            this->OnRequest(request, reply);
-          }});
+      web::ServerOptions{.address = given.control_address,
+                         .on_request = [this](const web::Request& request,
+                                              const web::Reply& reply) {
+                           this->OnRequest(request, reply);
+                         }});
   this->metrics_server = std::make_unique<web::Server>(
       this->loop,
       web::ServerOptions{
@@ -112,9 +111,8 @@
 
 replication::Hooks Server::MakeHooks() {
   return {
-      .apply = [this](LogIndex, const std::string& entry) {
-        this->Apply(entry);
-      },
+      .apply = [this](LogIndex,
+                      const std::string& entry) { this->Apply(entry); },
       .snapshot = [this] { return EncodeState(this->document); },
       .restore = [this](const std::string& bytes) { this->Restore(bytes); },
       .send =
@@ -156,6 +154,7 @@
                  .target = silent,
                  .duration = this->directory.options.silence});
   }
+  this->ShareLoad(now);
   std::erase_if(this->followers, [&](const auto& item) {
     return now - item.second.polled_at >= kFollowerForgotten;
   });
@@ -182,15 +181,15 @@
 }
 
 void Server::TakeDocument() {
-  dialect::DecodedOrder decoded = this->dialect.decode_order(
-      {.method = "PUT",
-       .path = this->dialect.table_path,
-       .body = this->document.newest.text});
+  dialect::DecodedOrder decoded =
+      this->dialect.decode_order({.method = "PUT",
+                                  .path = this->dialect.table_path,
+                                  .body = this->document.newest.text});
   auto* put = std::get_if<dialect::PutTable>(&decoded.order);
   if (put == nullptr || !decoded.findings.empty()) {
-    events::Log({.number = events::Number::kInternalError,
-                 .detail = "a stored table is invalid: " +
-                           decoded.findings.ToText()});
+    events::Log(
+        {.number = events::Number::kInternalError,
+         .detail = "a stored table is invalid: " + decoded.findings.ToText()});
     return;
   }
   this->table = std::move(put->table);
--- a/samphirebank/dialect/dialect.h
+++ b/samphirebank/dialect/dialect.h
@@ -98,14 +98,14 @@
 
 // AnswerHead is what a router needs to know of a target's answer.
 struct AnswerHead {
-  RequestId request{};           // whose answer it is; empty: unstated
+  RequestId request{};  // whose answer it is; empty: unstated
   bool signed_by_target = false;
-  bool not_run = false;          // the target states that it did not run it
-  bool encoded = false;          // the body is not as the target made it
-  bool closes = false;           // no further request on this connection
+  bool not_run = false;  // the target states that it did not run it
+  bool encoded = false;  // the body is not as the target made it
+  bool closes = false;   // no further request on this connection
   std::optional<Duration> idle_limit{};  // how long the connection is kept
   std::optional<TargetLoad> load{};
-  Headers passed_on{};           // what the caller gets
+  Headers passed_on{};  // what the caller gets
 };
 
 // Orders and questions that control instances take.
--- a/samphirebank/directory/directory.cc
+++ b/samphirebank/directory/directory.cc
@@ -25,8 +25,7 @@
 bool IsLate(const Entry& known, const Announcement& heard) {
   const Announcement& last = known.announcement;
   // A run that signed off does not come back; the state only moves on.
-  const bool ended =
-      last.born_ms == heard.born_ms && last.state > heard.state;
+  const bool ended = last.born_ms == heard.born_ms && last.state > heard.state;
   return ended || AgeOf(heard) < AgeOf(last);
 }
 
@@ -65,7 +64,8 @@
   Entry& entry = directory.entries[announcement.id];
   const bool same_run =
       known && entry.announcement.born_ms == announcement.born_ms;
-  const bool unchanged = same_run && SameFacts(entry.announcement, announcement);
+  const bool unchanged =
+      same_run && SameFacts(entry.announcement, announcement);
   entry.announcement = announcement;
   entry.heard_at = now;
   const bool due = now - entry.published_at >= directory.options.refresh;
@@ -90,8 +90,8 @@
   std::erase_if(directory.entries, [&](const auto& item) {
     const Entry& entry = item.second;
     const bool gone = entry.announcement.state == State::kGone;
-    const Duration limit = gone ? directory.options.remember_gone
-                                : directory.options.silence;
+    const Duration limit =
+        gone ? directory.options.remember_gone : directory.options.silence;
     if (now - entry.heard_at < limit) return false;
     if (!gone) silent.push_back(item.first);
     return true;
--- a/samphirebank/dispatch/book.cc
+++ b/samphirebank/dispatch/book.cc
@@ -43,10 +43,10 @@
 }
 
 void NoteSent(Book& book, const TargetId& target, const Work& work,
-              TimePoint now) {
+              Duration reading, TimePoint now) {
   Record& record = book.records[target];
   ++record.in_flight;
-  record.unread += work.own;
+  record.unread += reading;
   for (const dialect::PromptPart& part : work.shared) {
     book.part_sent[part.id][target] = now;
   }
@@ -59,13 +59,12 @@
   record.load_at = now;
 }
 
-void NoteRead(Book& book, const TargetId& target, const Work& work) {
+void NoteRead(Book& book, const TargetId& target, Duration reading) {
   Record& record = book.records[target];
-  record.unread -= std::min(record.unread, work.own);
+  record.unread -= std::min(record.unread, reading);
 }
 
-void NoteEnd(Book& book, const TargetId& target, Ending ending,
-             TimePoint now) {
+void NoteEnd(Book& book, const TargetId& target, Ending ending, TimePoint now) {
   Record& record = book.records[target];
   if (record.in_flight > 0) --record.in_flight;
   if (ending == Ending::kNeutral) return;
--- a/samphirebank/dispatch/choose.cc
+++ b/samphirebank/dispatch/choose.cc
@@ -54,9 +54,8 @@
   Tokens uncached;
   bool prefix_cached = true;
   for (const dialect::PromptPart& part : work.shared) {
-    prefix_cached =
-        prefix_cached &&
-        (is_home || IsCached(book, candidate.id, part.id, now));
+    prefix_cached = prefix_cached &&
+                    (is_home || IsCached(book, candidate.id, part.id, now));
     if (!prefix_cached) uncached += part.tokens;
   }
   return uncached;
@@ -74,37 +73,73 @@
   return {};
 }
 
-// LoadCost is what the requests that a target has cost one more.
+// ReadingTime is how long an engine reads `uncached` tokens at the end of a
+// prompt.
+Milliseconds ReadingTime(const Options& options, Tokens uncached,
+                         Tokens prompt) {
+  constexpr double kMillion = 1e6;
+  const auto read = static_cast<double>(uncached.value);
+  const double attended = static_cast<double>(prompt.value) - read / 2;
+  return Milliseconds(read / options.tokens_read_per_ms +
+                      read * attended / kMillion *
+                          options.ms_per_million_pairs);
+}
+
+Tokens PromptTokens(const Work& work) {
+  Tokens tokens = work.own;
+  for (const dialect::PromptPart& part : work.shared) tokens += part.tokens;
+  return tokens;
+}
+
+// ReadWait is how long the prompts that were sent to a target take to read.
+Milliseconds ReadWait(const Record* record) {
+  if (record == nullptr) return {};
+  return record->unread + record->others_unread;
+}
+
+// LoadCost is what the requests that run or wait at a target cost one more.
 Milliseconds LoadCost(const Book& book, const Candidate& candidate,
                       TimePoint now) {
   const Record* record = FindRecord(book, candidate.id);
   if (record == nullptr) return {};
   const Options& options = book.options;
-  Milliseconds cost(static_cast<double>(record->unread.value) /
-                    options.tokens_read_per_ms);
   uint32_t running = record->in_flight;
   uint32_t waiting = 0;
-  const bool fresh =
-      record->load && now - record->load_at < options.load_age;
+  const bool fresh = record->load && now - record->load_at < options.load_age;
   if (fresh) {
     running = std::max(running, record->load->running);
     waiting = record->load->waiting;
   }
   const bool over = candidate.slots > 0 && running > candidate.slots;
   if (over) waiting = std::max(waiting, running - candidate.slots);
-  cost += running * Milliseconds(options.per_running);
-  cost += waiting * Milliseconds(options.per_waiting);
-  return cost;
+  // An engine's waiting prompts are counted by the time to read them.
+  const bool reads = record->unread + record->others_unread > Duration::zero();
+  const Milliseconds queue =
+      reads ? Milliseconds() : waiting * Milliseconds(options.per_waiting);
+  return running * Milliseconds(options.per_running) + queue;
 }
 
-Milliseconds CostOf(const Book& book, const Candidate& candidate, bool is_home,
+// Estimate is what one target would take for a request.
+struct Estimate {
+  Milliseconds cost{};
+  Milliseconds wait{};
+  Milliseconds reading{};
+};
+
+Estimate EstimateOf(const Book& book, const Candidate& candidate, bool is_home,
                     const Work& work, TimePoint now) {
-  const Tokens uncached =
-      UncachedTokens(book, candidate, is_home, work, now);
-  const Milliseconds reading(static_cast<double>(uncached.value) /
-                             book.options.tokens_read_per_ms);
-  return reading + CrossingCost(book.options, candidate.distance) +
-         LoadCost(book, candidate, now);
+  const Tokens uncached = UncachedTokens(book, candidate, is_home, work, now);
+  const Tokens prompt = PromptTokens(work);
+  const Milliseconds own = ReadingTime(book.options, work.own, prompt);
+  const Milliseconds reading =
+      ReadingTime(book.options, work.own + uncached, prompt);
+  const Milliseconds wait = ReadWait(FindRecord(book, candidate.id));
+  const Milliseconds again = reading - own;
+  return {.cost = wait + own + book.options.read_again_weight * again +
+                  CrossingCost(book.options, candidate.distance) +
+                  LoadCost(book, candidate, now),
+          .wait = wait,
+          .reading = reading};
 }
 
 // Allowed returns the candidates that may be chosen: not tried, not ejected.
@@ -122,31 +157,35 @@
   }
   const double least = static_cast<double>(candidates.size()) *
                        (1.0 - book.options.most_ejected);
-  const bool enough = static_cast<double>(healthy.size() + work.tried.size()) >=
-                      least;
+  const bool enough =
+      static_cast<double>(healthy.size() + work.tried.size()) >= least;
   return enough && !healthy.empty() ? healthy : untried;
 }
 
 }  // namespace
 
-std::optional<size_t> Choose(const Book& book,
+std::optional<Choice> Choose(const Book& book,
                              const std::vector<Candidate>& candidates,
                              const Work& work, TimePoint now) {
   const std::vector<size_t> allowed = Allowed(book, candidates, work, now);
   const std::optional<size_t> home = HomeOf(candidates, work);
   std::optional<size_t> best;
-  Milliseconds best_cost{};
+  Estimate least;
   for (const size_t i : allowed) {
-    const Milliseconds cost =
-        CostOf(book, candidates[i], home == i, work, now);
-    const bool tie_won = best && cost == best_cost &&
+    const Estimate estimate =
+        EstimateOf(book, candidates[i], home == i, work, now);
+    const bool tie_won = best && estimate.cost == least.cost &&
                          Rank(candidates[i].id, work.seed) >
                              Rank(candidates[*best].id, work.seed);
-    if (best && cost >= best_cost && !tie_won) continue;
+    if (best && estimate.cost >= least.cost && !tie_won) continue;
     best = i;
-    best_cost = cost;
+    least = estimate;
   }
-  return best;
+  if (!best) return std::nullopt;
+  using std::chrono::duration_cast;
+  return Choice{.index = *best,
+                .wait = duration_cast<Duration>(least.wait),
+                .reading = duration_cast<Duration>(least.reading)};
 }
 
 }  // namespace samphirebank::dispatch
--- a/samphirebank/dispatch/dispatch.h
+++ b/samphirebank/dispatch/dispatch.h
@@ -11,9 +11,9 @@
 //
 // Example:
 //
-//   std::optional<size_t> chosen = Choose(book, candidates, work, now);
-//   NoteSent(book, candidates[*chosen].id, work, now);
-//   NoteFirstEvent(book, id, work);
+//   std::optional<Choice> choice = Choose(book, candidates, work, now);
+//   NoteSent(book, candidates[choice->index].id, work, choice->reading, now);
+//   NoteRead(book, id, choice->reading);
 //   NoteEnd(book, id, Ending::kGood, now);
 #ifndef SAMPHIREBANK_DISPATCH_DISPATCH_H_
 #define SAMPHIREBANK_DISPATCH_DISPATCH_H_
@@ -33,6 +33,11 @@
 // Options of the choice. Costs are times that a request would wait.
 struct Options {
   double tokens_read_per_ms = 60.0;  // by one engine that does nothing else
+  // Each token read attends to all before it.
+  double ms_per_million_pairs = 0.37;
+  // Reading a part that another target has cached delays the requests there as
+  // well as its own.
+  double read_again_weight = 2.0;
   Duration crossing_zone = std::chrono::milliseconds(2);
   Duration crossing_region = std::chrono::milliseconds(60);
   // What each request that runs at an engine adds to another's first event.
@@ -46,9 +51,9 @@
   // The first ejection; each further failure in a row doubles it up to most.
   Duration first_ejection = std::chrono::milliseconds(500);
   Duration most_ejection = std::chrono::seconds(4);
-  uint32_t failures_to_eject = 2;       // in a row
-  double failure_rate_to_eject = 0.5;   // of the recent ends
-  double failure_rate_weight = 0.15;    // of the newest end in the rate
+  uint32_t failures_to_eject = 2;      // in a row
+  double failure_rate_to_eject = 0.5;  // of the recent ends
+  double failure_rate_weight = 0.15;   // of the newest end in the rate
   // At most this part of a service's targets is passed over.
   double most_ejected = 0.5;
 };
@@ -81,7 +86,8 @@
 // Record is what a router knows of one target by its own traffic.
 struct Record {
   uint32_t in_flight = 0;
-  Tokens unread{};  // prompt tokens sent whose first event has not come
+  Duration unread{};         // to read the prompts sent that are not read yet
+  Duration others_unread{};  // the same of all other routers, when last told
   std::optional<dialect::TargetLoad> load{};
   TimePoint load_at{};
   uint32_t failures_in_row = 0;
@@ -98,20 +104,27 @@
       part_sent{};
 };
 
-// Choose returns the position of the target that serves the work soonest;
-// nothing if there is no candidate.
-std::optional<size_t> Choose(const Book& book,
+// Choice is the target that serves a request soonest.
+struct Choice {
+  size_t index = 0;    // among the candidates
+  Duration wait{};     // for the requests that are there
+  Duration reading{};  // of the prompt, as far as it is not cached
+};
+
+// Choose returns nothing if there is no candidate.
+std::optional<Choice> Choose(const Book& book,
                              const std::vector<Candidate>& candidates,
                              const Work& work, TimePoint now);
 
-// NoteSent counts a request that is sent to a target.
+// NoteSent counts a request that is sent to a target, which reads its prompt
+// for `reading`.
 void NoteSent(Book& book, const TargetId& target, const Work& work,
-              TimePoint now);
+              Duration reading, TimePoint now);
 // NoteLoad takes in a target's own count.
 void NoteLoad(Book& book, const TargetId& target,
               const dialect::TargetLoad& load, TimePoint now);
 // NoteRead tells that a target has read the prompt of a request.
-void NoteRead(Book& book, const TargetId& target, const Work& work);
+void NoteRead(Book& book, const TargetId& target, Duration reading);
 // NoteEnd counts the end of a request that NoteSent counted.
 void NoteEnd(Book& book, const TargetId& target, Ending ending, TimePoint now);
 // NoteUnreachable counts a connection that did not come about.
--- a/samphirebank/events/log.cc
+++ b/samphirebank/events/log.cc
@@ -47,11 +47,10 @@
   int sync() override {
     pollfd ready{.fd = this->descriptor, .events = POLLOUT, .revents = 0};
     const bool fits = this->line.size() <= PIPE_BUF;
-    const bool writable = fits && poll(&ready, 1, 0) == 1 &&
-                          (ready.revents & POLLOUT) != 0;
-    const bool written =
-        writable && write(this->descriptor, this->line.data(),
-                          this->line.size()) >= 0;
+    const bool writable =
+        fits && poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
+    const bool written = writable && write(this->descriptor, this->line.data(),
+                                           this->line.size()) >= 0;
     if (!written) ++this->budget->left_out;
     this->line.clear();
     return 0;
--- a/samphirebank/follow/follow.cc
+++ b/samphirebank/follow/follow.cc
@@ -13,8 +13,8 @@
 void AddMembers(Follower& follower, const std::vector<InstanceId>& members,
                 TimePoint now) {
   for (const InstanceId& member : members) {
-    follower.sources.try_emplace(
-        member, Source{.added_at = now, .next_poll = now});
+    follower.sources.try_emplace(member,
+                                 Source{.added_at = now, .next_poll = now});
   }
 }
 
@@ -43,9 +43,9 @@
   for (auto& [id, source] : follower.sources) {
     if (now < source.next_poll) continue;
     const Options& options = follower.options;
-    source.next_poll = now + (HeardLately(source, options, now)
-                                  ? options.poll_interval
-                                  : options.search_interval);
+    source.next_poll =
+        now + (HeardLately(source, options, now) ? options.poll_interval
+                                                 : options.search_interval);
     due.push_back(id);
   }
   return due;
@@ -64,11 +64,14 @@
 Heard Merge(Follower& follower, const InstanceId& from, const Update& update,
             directory::Directory& directory, TimePoint now) {
   Source& source =
-      follower.sources.try_emplace(from, Source{.added_at = now})
-          .first->second;
+      follower.sources.try_emplace(from, Source{.added_at = now}).first->second;
   const bool same_run = source.boot == update.answerer;
   const bool stale = same_run && update.cursor < source.cursor;
   source.heard_at = now;
+  source.zone = update.zone;
+  source.region = update.region;
+  source.next_poll =
+      std::min(source.next_poll, now + follower.options.poll_interval);
   if (!stale) {
     source.boot = update.answerer;
     source.cursor = update.cursor;
@@ -90,6 +93,21 @@
   return heard;
 }
 
+std::optional<InstanceId> NearestHeard(const Follower& follower,
+                                       const ZoneId& zone,
+                                       const RegionId& region, TimePoint now) {
+  std::optional<InstanceId> nearest;
+  int nearest_steps = 0;
+  for (const auto& [id, source] : follower.sources) {
+    if (!HeardLately(source, follower.options, now)) continue;
+    const int steps = source.zone == zone ? 0 : source.region == region ? 1 : 2;
+    if (nearest && steps >= nearest_steps) continue;
+    nearest = id;
+    nearest_steps = steps;
+  }
+  return nearest;
+}
+
 Duration SilentFor(const Follower& follower, TimePoint now) {
   Duration least = Duration::max();
   for (const auto& [id, source] : follower.sources) {
--- a/samphirebank/follow/follow.h
+++ b/samphirebank/follow/follow.h
@@ -1,10 +1,10 @@
 // File: follow.h
 //
-// How an instance follows the coordinators: it polls each one it knows, starting
-// from a few seeds, and merges what they say of targets into one directory. A
-// coordinator answers with what changed since the last answer, and says which
-// coordinators there are. Messages may be lost: the next poll asks again. No
-// I/O.
+// How an instance follows the coordinators: it polls each one it knows,
+// starting from a few seeds, and merges what they say of targets into one
+// directory. A coordinator answers with what changed since the last answer, and
+// says which coordinators there are. Messages may be lost: the next poll asks
+// again. No I/O.
 //
 // An instance is named by its IP number here, so that a name is enough to
 // reach it.
@@ -38,9 +38,9 @@
 struct Poll {
   static constexpr wire::Kind kKind = static_cast<wire::Kind>(14);
 
-  BootId answerer{};            // the run of the coordinator that was heard
-  directory::Cursor cursor{};   // in that run's directory
-  routes::TableVersion table{}; // that the asker has
+  BootId answerer{};             // the run of the coordinator that was heard
+  directory::Cursor cursor{};    // in that run's directory
+  routes::TableVersion table{};  // that the asker has
   bool is_gateway = true;
 
   template <typename Archive>
@@ -57,13 +57,16 @@
   directory::Cursor cursor{};
   bool more = false;
   std::vector<directory::Announcement> announcements{};
-  routes::TableVersion table{};         // in force at the coordinator
-  std::vector<InstanceId> members{};    // of the control group
-  uint32_t gateways = 0;                // that follow this coordinator
+  routes::TableVersion table{};  // in force at the coordinator
+  ZoneId zone{};                 // of the coordinator
+  RegionId region{};
+  std::vector<InstanceId> members{};  // of the control group
+  uint32_t gateways = 0;              // that follow this coordinator
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(answerer, cursor, more, announcements, table, members, gateways);
+    archive(answerer, cursor, more, announcements, table, zone, region, members,
+            gateways);
   }
 };
 
@@ -101,6 +104,8 @@
   TimePoint added_at{};
   TimePoint next_poll{};
   bool is_seed = false;
+  ZoneId zone{};
+  RegionId region{};
 };
 
 // Follower is what an instance knows of the coordinators.
@@ -131,6 +136,12 @@
 Heard Merge(Follower& follower, const InstanceId& from, const Update& update,
             directory::Directory& directory, TimePoint now);
 
+// NearestHeard returns the coordinator heard lately that is nearest to a zone:
+// in it, else in its region, else any; nothing if none was heard.
+std::optional<InstanceId> NearestHeard(const Follower& follower,
+                                       const ZoneId& zone,
+                                       const RegionId& region, TimePoint now);
+
 // SilentFor is how long no coordinator was heard.
 Duration SilentFor(const Follower& follower, TimePoint now);
 
--- a/samphirebank/follow/follow_test.cc
+++ b/samphirebank/follow/follow_test.cc
@@ -75,8 +75,8 @@
 TEST_CASE("a target that leaves at one coordinator leaves for all") {
   Follower follower = OneSeed();
   Directory directory;
-  const Heard first = Merge(
-      follower, kSeed, {.announcements = {Ready("t")}}, directory, kStart);
+  const Heard first = Merge(follower, kSeed, {.announcements = {Ready("t")}},
+                            directory, kStart);
   CHECK(first.arrived.size() == 1);
   Announcement leaving = Ready("t");
   leaving.state = State::kDraining;
@@ -88,6 +88,24 @@
   CHECK(directory::ReadyTargets(directory, ServiceId("a")).empty());
 }
 
+TEST_CASE("the nearest coordinator is one that was heard lately") {
+  Follower follower = OneSeed();
+  Directory directory;
+  const ZoneId zone("a");
+  const RegionId region("south");
+  CHECK_FALSE(NearestHeard(follower, zone, region, kStart));
+  Merge(follower, kSeed, {.zone = ZoneId("b"), .region = RegionId("north")},
+        directory, kStart);
+  CHECK(NearestHeard(follower, zone, region, kStart) == kSeed);
+  Merge(follower, kOther, {.zone = ZoneId("c"), .region = region}, directory,
+        kStart);
+  CHECK(NearestHeard(follower, zone, region, kStart) == kOther);
+  const TimePoint later = kStart + follower.options.silence;
+  Merge(follower, kSeed, {.zone = ZoneId("b"), .region = RegionId("north")},
+        directory, later);
+  CHECK(NearestHeard(follower, zone, region, later) == kSeed);
+}
+
 TEST_CASE("silence is that of the coordinator heard last") {
   Follower follower = OneSeed();
   Directory directory;
--- a/samphirebank/forwarding/decide.cc
+++ b/samphirebank/forwarding/decide.cc
@@ -7,8 +7,7 @@
 Next EndOf(const Progress& progress, SendEnd end) {
   if (progress.answer_begun) return Next::kCut;
   if (end == SendEnd::kAnswered) return Next::kPassOn;
-  const bool may_have_run =
-      progress.may_have_run || end == SendEnd::kBroken;
+  const bool may_have_run = progress.may_have_run || end == SendEnd::kBroken;
   return may_have_run ? Next::kUnknown : Next::kRefuse;
 }
 
--- a/samphirebank/forwarding/events.cc
+++ b/samphirebank/forwarding/events.cc
@@ -17,8 +17,7 @@
     const size_t line_end = text.find('\n', line_start);
     if (line_end == std::string_view::npos) return line_end;
     const size_t length = line_end - line_start;
-    const bool empty =
-        length == 0 || (length == 1 && text[line_start] == '\r');
+    const bool empty = length == 0 || (length == 1 && text[line_start] == '\r');
     if (empty && line_start > 0) return line_end + 1;
     line_start = line_end + 1;
   }
--- a/samphirebank/forwarding/forwarding.h
+++ b/samphirebank/forwarding/forwarding.h
@@ -35,11 +35,11 @@
 // Progress is what one request went through.
 struct Progress {
   routes::Repetition repetition = routes::Repetition::kNever;
-  uint32_t attempts = 1;       // targets that it may be sent to
-  uint32_t sends = 0;          // targets that it was sent to
-  uint32_t connects = 0;       // connections that did not come about
-  bool may_have_run = false;   // an earlier send ended in kBroken or kAnswered
-  bool answer_begun = false;   // the caller has a part of the answer
+  uint32_t attempts = 1;      // targets that it may be sent to
+  uint32_t sends = 0;         // targets that it was sent to
+  uint32_t connects = 0;      // connections that did not come about
+  bool may_have_run = false;  // an earlier send ended in kBroken or kAnswered
+  bool answer_begun = false;  // the caller has a part of the answer
 };
 
 // kMaxConnects is how many targets that cannot be reached one request tries.
--- a/samphirebank/forwarding/forwarding_test.cc
+++ b/samphirebank/forwarding/forwarding_test.cc
@@ -104,10 +104,9 @@
     }
     for (const TimePoint end : naive.repeats) {
       const TimePoint begin = end - options.window;
-      const double bound =
-          options.ratio *
-              static_cast<double>(naive.Count(naive.requests, begin, end)) +
-          options.allowance;
+      const double bound = options.ratio * static_cast<double>(naive.Count(
+                                               naive.requests, begin, end)) +
+                           options.allowance;
       RC_ASSERT(static_cast<double>(naive.Count(naive.repeats, begin, end)) <=
                 bound);
     }
@@ -131,7 +130,8 @@
 
 TEST_CASE("events come out the same however they are cut") {
   CHECK(rc::check("event cuts", [] {
-    const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nx";
+    const std::string text =
+        "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nx";
     EventStream stream;
     std::string out;
     size_t at = 0;
--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -20,8 +20,8 @@
 
 // A caller that is refused comes back after a time between these, so that
 // those refused together do not come back together.
-constexpr double kEarliestReturn = 0.2;  // seconds
-constexpr double kLatestReturn = 0.6;    // seconds
+constexpr Duration kEarliestReturn = std::chrono::milliseconds(200);
+constexpr Duration kLatestReturn = std::chrono::milliseconds(600);
 
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
@@ -29,12 +29,16 @@
   return XXH64(call.id.value.data(), call.id.value.size(), 0);
 }
 
-std::string ReturnTime(uint64_t seed) {
+Duration SoonAgain(uint64_t seed) {
   constexpr uint64_t kSteps = 1000;
-  const double part = static_cast<double>(seed % kSteps) / kSteps;
-  const double seconds =
-      kEarliestReturn + part * (kLatestReturn - kEarliestReturn);
-  std::string text = std::to_string(seconds);
+  return kEarliestReturn +
+         (kLatestReturn - kEarliestReturn) * (seed % kSteps) / kSteps;
+}
+
+// SecondsText writes a time as seconds with three decimals.
+std::string SecondsText(Duration span) {
+  const std::chrono::duration<double> seconds = span;
+  const std::string text = std::to_string(seconds.count());
   return text.substr(0, text.find('.') + 4);
 }
 
@@ -69,9 +73,46 @@
   if (!this->Admit()) return;
   this->StartLimit();
   this->server.NoteServiceRequest(this->service);
+  this->server.NoteAsked(this->organisation, this->TokensOf());
   this->SendToTarget();
 }
 
+// TokensOf is what a prompt counts against its organisation's share: a token
+// generated costs as much as two that are read.
+Tokens Exchange::TokensOf() const {
+  const dialect::Prompt& prompt = this->call.prompt;
+  const Tokens out =
+      prompt.expected_tokens_out.value_or(prompt.most_tokens_out);
+  return prompt.tokens_in + out + out;
+}
+
+bool Exchange::AdmitPrompt(Duration wait) {
+  const bool judged = this->progress.sends == 0 &&
+                      this->progress.connects == 0 &&
+                      this->call.prompt.tokens_in > Tokens(0);
+  if (!judged) return true;
+  const Share share = this->server.ShareOf(this->organisation, Now());
+  const admission::Options& options = this->server.admission_options();
+  const bool admitted =
+      admission::Admits(options, {.latency_target = this->route->latency_target,
+                                  .wait = wait,
+                                  .used = share.used,
+                                  .level = share.level});
+  if (admitted) {
+    this->server.NoteAdmitted(this->organisation, this->TokensOf());
+    return true;
+  }
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(wait);
+  this->RefuseForNow(
+      "targets busy for " + std::to_string(milliseconds.count()) +
+          " ms; the organisation used " + std::to_string(share.used) +
+          " tokens/s of a fair share of " + std::to_string(share.level),
+      admission::ReturnAfter(options, share.used, share.level,
+                             SeedOf(this->call)));
+  return false;
+}
+
 bool Exchange::Admit() {
   if (!this->server.takes_requests(this->begun_at)) {
     this->RefuseForNow("this instance shuts down");
@@ -147,8 +188,7 @@
   event.bytes = Bytes(this->bytes_passed);
   events::Log(event);
   this->server.NoteOutcome(
-      Outcome::kServed,
-      this->first_answer_at.value_or(Now()) - this->begun_at);
+      Outcome::kServed, this->first_answer_at.value_or(Now()) - this->begun_at);
   this->ReleaseConnection();
   this->EndSending(dispatch::Ending::kGood);
   this->Close();
@@ -179,12 +219,12 @@
   events::Log(event);
   this->server.NoteOutcome(Outcome::kRefused, this->Elapsed());
   this->Close();
-  this->session.Reply(
-      Problem(status, "not-run", reason,
-              this->server.dialect().own_headers(this->call)));
+  this->session.Reply(Problem(status, "not-run", reason,
+                              this->server.dialect().own_headers(this->call)));
 }
 
-void Exchange::RefuseForNow(const std::string& reason) {
+void Exchange::RefuseForNow(const std::string& reason,
+                            std::optional<Duration> return_after) {
   events::Event event = this->EventOf(Number::kRequestRefused);
   event.status = 503;
   event.outcome = "not-run";
@@ -192,7 +232,8 @@
   events::Log(event);
   this->server.NoteOutcome(Outcome::kRefused, this->Elapsed());
   web::Headers headers = this->server.dialect().own_headers(this->call);
-  headers.push_back({"retry-after", ReturnTime(SeedOf(this->call))});
+  const Duration after = return_after.value_or(SoonAgain(SeedOf(this->call)));
+  headers.push_back({"retry-after", SecondsText(after)});
   this->Close();
   this->session.Reply(Problem(503, "not-run", reason, std::move(headers)));
 }
@@ -204,9 +245,8 @@
   events::Log(event);
   this->server.NoteOutcome(Outcome::kUnknown, this->Elapsed());
   this->Close();
-  this->session.Reply(
-      Problem(status, "unknown", reason,
-              this->server.dialect().own_headers(this->call)));
+  this->session.Reply(Problem(status, "unknown", reason,
+                              this->server.dialect().own_headers(this->call)));
 }
 
 void Exchange::Cut(const std::string& reason) {
--- /dev/null
+++ b/samphirebank/gateway/fleet_view.cc
@@ -0,0 +1,138 @@
+// What a gateway tells of its load, and what it is told of all others'.
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include "samphirebank/gateway/internal/server.h"
+
+namespace samphirebank::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Rates below it, in tokens a second, are not told and forgotten.
+constexpr double kLeastRate = 1.0;
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+uint32_t Whole(double rate) {
+  return static_cast<uint32_t>(std::lround(std::max(rate, 0.0)));
+}
+
+}  // namespace
+
+void Server::NoteAsked(const OrganisationId& organisation, Tokens tokens) {
+  fleetload::Add(this->usage[organisation].asked,
+                 static_cast<double>(tokens.value), Now());
+}
+
+void Server::NoteAdmitted(const OrganisationId& organisation, Tokens tokens) {
+  fleetload::Add(this->usage[organisation].admitted,
+                 static_cast<double>(tokens.value), Now());
+}
+
+void Server::ReportLoad(TimePoint now) {
+  std::erase_if(this->usage, [now](const auto& item) {
+    return fleetload::Rate(item.second.asked, now) < kLeastRate;
+  });
+  this->RefreshLevel(now);
+  const auto to =
+      follow::NearestHeard(this->follower, this->settings.identity.zone,
+                           this->settings.identity.region, now);
+  if (!to) return;
+  fleetload::LoadReport report;
+  for (const auto& [target, record] : this->targets_book.records) {
+    const auto waits =
+        std::chrono::duration_cast<milliseconds>(record.unread).count();
+    if (waits <= 0) continue;
+    report.load.targets.push_back(
+        {.target = fleetload::KeyOf(target.value),
+         .milliseconds = static_cast<uint32_t>(waits)});
+  }
+  for (const auto& [organisation, used] : this->usage) {
+    report.load.organisations.push_back(
+        {.organisation = fleetload::KeyOf(organisation.value),
+         .asked = Whole(fleetload::Rate(used.asked, now)),
+         .admitted = Whole(fleetload::Rate(used.admitted, now))});
+  }
+  this->peers->Send(this->PeerAddress(*to), wire::Encode(report));
+}
+
+void Server::TakeLoadSum(const fleetload::Load& load, TimePoint now) {
+  this->others_told_at = now;
+  std::unordered_map<fleetload::Key, Duration> waits;
+  for (const fleetload::TargetWork& work : load.targets) {
+    waits[work.target] = milliseconds(work.milliseconds);
+  }
+  for (const auto& [target, entry] : this->directory.entries) {
+    const auto found = waits.find(fleetload::KeyOf(target.value));
+    const Duration wait = found == waits.end() ? Duration() : found->second;
+    const bool known = this->targets_book.records.contains(target);
+    if (known || wait > Duration()) {
+      this->targets_book.records[target].others_unread = wait;
+    }
+  }
+  this->others_usage.clear();
+  for (const fleetload::OrganisationUse& use : load.organisations) {
+    this->others_usage[use.organisation] = use;
+  }
+  this->RefreshLevel(now);
+}
+
+void Server::RefreshLevel(TimePoint now) {
+  const Tokens capacity = this->table == nullptr
+                              ? Tokens()
+                              : this->table->table.limits.tokens_per_second;
+  if (capacity == Tokens()) {
+    this->fair_level = std::numeric_limits<double>::infinity();
+    return;
+  }
+  const bool told =
+      this->others_told_at && now - *this->others_told_at < fleetload::kFresh;
+  // Without news of the others they are taken to be like this one.
+  const double alike =
+      told ? 1.0 : std::max<uint32_t>(this->follower.gateways, 1);
+  std::unordered_map<fleetload::Key, double> asked;
+  for (const auto& [organisation, used] : this->usage) {
+    asked[fleetload::KeyOf(organisation.value)] +=
+        alike * fleetload::Rate(used.asked, now);
+  }
+  if (told) {
+    for (const auto& [organisation, use] : this->others_usage) {
+      asked[organisation] += use.asked;
+    }
+  } else {
+    this->others_usage.clear();
+    for (auto& [target, record] : this->targets_book.records) {
+      record.others_unread =
+          std::chrono::duration_cast<Duration>(record.unread * (alike - 1.0));
+    }
+  }
+  std::vector<double> asks;
+  asks.reserve(asked.size());
+  for (const auto& [organisation, ask] : asked) asks.push_back(ask);
+  this->fair_level = fleetload::FairLevel(std::move(asks),
+                                          static_cast<double>(capacity.value));
+}
+
+Share Server::ShareOf(const OrganisationId& organisation, TimePoint now) const {
+  Share share{.level = this->fair_level};
+  const bool told =
+      this->others_told_at && now - *this->others_told_at < fleetload::kFresh;
+  const double alike =
+      told ? 1.0 : std::max<uint32_t>(this->follower.gateways, 1);
+  const auto own = this->usage.find(organisation);
+  if (own != this->usage.end()) {
+    share.used = alike * fleetload::Rate(own->second.admitted, now);
+  }
+  const auto others =
+      this->others_usage.find(fleetload::KeyOf(organisation.value));
+  if (others != this->others_usage.end()) {
+    share.used += others->second.admitted;
+  }
+  return share;
+}
+
+}  // namespace samphirebank::gateway
--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -41,11 +41,12 @@
     std::unique_ptr<web::AnswerReader> reader{};
     dialect::AnswerHead head{};
     int status = 0;
-    std::string body{};       // of an answer that is not streamed on
+    std::string body{};  // of an answer that is not streamed on
     bool head_seen = false;
-    bool foreign = false;     // the answer being read is another request's
+    bool foreign = false;  // the answer being read is another request's
     uint32_t foreign_seen = 0;
     bool read_noted = false;  // the target has read the prompt
+    Duration reading{};       // of the prompt, as it was estimated
     TimePoint sent_at{};
   };
 
@@ -57,6 +58,8 @@
 
   // Sending.
   void SendToTarget();
+  bool AdmitPrompt(Duration wait);
+  Tokens TokensOf() const;
   void OnConnection(std::shared_ptr<web::Connection> connection);
   void Listen();
   void OnAnswerData();
@@ -79,7 +82,9 @@
   void Complete();
   void PassOn();
   void Refuse(int status, const std::string& reason);
-  void RefuseForNow(const std::string& reason);
+  // Without `return_after` the caller comes back soon.
+  void RefuseForNow(const std::string& reason,
+                    std::optional<Duration> return_after = std::nullopt);
   void FailUnknown(int status, const std::string& reason);
   void Cut(const std::string& reason);
   void Close();
--- a/samphirebank/gateway/internal/metrics.h
+++ b/samphirebank/gateway/internal/metrics.h
@@ -15,9 +15,9 @@
 enum class Outcome : uint8_t {
   kServed,
   kFailedByTarget,
-  kRefused,     // not run
-  kUnknown,     // may have run
-  kCut,         // broken off midway
+  kRefused,  // not run
+  kUnknown,  // may have run
+  kCut,      // broken off midway
   kCallerLeft,
 };
 inline constexpr size_t kOutcomes = 6;
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -14,11 +14,14 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
+#include "samphirebank/admission/admission.h"
 #include "samphirebank/dialect/dialect.h"
 #include "samphirebank/directory/directory.h"
 #include "samphirebank/dispatch/dispatch.h"
+#include "samphirebank/fleetload/fleetload.h"
 #include "samphirebank/follow/follow.h"
 #include "samphirebank/forwarding/forwarding.h"
 #include "samphirebank/gateway/internal/metrics.h"
@@ -36,6 +39,14 @@
 struct ChosenTarget {
   TargetId id{};
   net::SocketAddress address{};
+  Duration wait{};     // before its prompt is read
+  Duration reading{};  // of its prompt
+};
+
+// Share is how an organisation stands, in tokens a second over the fleet.
+struct Share {
+  double used = 0.0;
+  double level = 0.0;  // of a fair share now
 };
 
 // Server is one gateway. It belongs to the loop's thread.
@@ -70,6 +81,13 @@
   std::optional<ChosenTarget> ChooseTarget(const ServiceId& service,
                                            const dispatch::Work& work,
                                            TimePoint now);
+  // What an organisation asks for and gets; see fleetload.
+  void NoteAsked(const OrganisationId& organisation, Tokens tokens);
+  void NoteAdmitted(const OrganisationId& organisation, Tokens tokens);
+  Share ShareOf(const OrganisationId& organisation, TimePoint now) const;
+  const admission::Options& admission_options() const {
+    return this->admission;
+  }
   // LoadText says what is known of a target's load, and how old that is.
   std::string LoadText(const TargetId& target, TimePoint now) const;
   void NoteSendEnd(const TargetId& target, dispatch::Ending ending);
@@ -91,6 +109,9 @@
   void WatchControl(TimePoint now);
   void ForgetTargets(TimePoint now);
   void SendPolls(TimePoint now);
+  void ReportLoad(TimePoint now);
+  void TakeLoadSum(const fleetload::Load& load, TimePoint now);
+  void RefreshLevel(TimePoint now);
   void OnPacket(const wire::Opened& opened);
   void OnUpdate(const InstanceId& from, const follow::Update& update);
   void InstallTable(const InstanceId& from, routes::RouteTable newer);
@@ -110,6 +131,17 @@
   dispatch::Book targets_book;
   TargetPool connections;
   std::map<ServiceId, forwarding::RepeatBudget> budgets;
+  // What this gateway's callers ask for and get.
+  struct Usage {
+    fleetload::Meter asked{};
+    fleetload::Meter admitted{};
+  };
+  std::map<OrganisationId, Usage> usage;
+  // What other gateways told, and when.
+  std::unordered_map<fleetload::Key, fleetload::OrganisationUse> others_usage;
+  std::optional<TimePoint> others_told_at;
+  double fair_level = 0.0;  // tokens a second
+  admission::Options admission;
   std::set<std::shared_ptr<Session>> sessions;
   std::unique_ptr<link::Link> peers;
   std::unique_ptr<web::Listener> callers;
--- a/samphirebank/gateway/loopback_fixture.cc
+++ b/samphirebank/gateway/loopback_fixture.cc
@@ -105,17 +105,15 @@
 FakeCaller::FakeCaller(boost::asio::io_context& loop,
                        const net::SocketAddress& to)
     : reader(std::make_unique<web::AnswerReader>()) {
-  web::Connect(loop, to, seconds(1),
-               [this](std::shared_ptr<web::Connection> opened) {
-                 REQUIRE(opened != nullptr);
-                 this->connection = std::move(opened);
-                 this->connection->Start(
-                     [this] { this->Read(); },
-                     [this](web::End) {
-                       this->answers.push_back({.closed = true});
-                     });
-                 this->connection->Send(this->unsent);
-               });
+  web::Connect(
+      loop, to, seconds(1), [this](std::shared_ptr<web::Connection> opened) {
+        REQUIRE(opened != nullptr);
+        this->connection = std::move(opened);
+        this->connection->Start(
+            [this] { this->Read(); },
+            [this](web::End) { this->answers.push_back({.closed = true}); });
+        this->connection->Send(this->unsent);
+      });
 }
 
 FakeCaller::~FakeCaller() {
@@ -134,10 +132,9 @@
 
 void FakeCaller::Read() {
   while (!this->connection->input().empty()) {
-    const web::ReadState state =
-        this->reader->Feed(&this->connection->input());
-    REQUIRE((state == web::ReadState::kMore ||
-             state == web::ReadState::kWhole));
+    const web::ReadState state = this->reader->Feed(&this->connection->input());
+    REQUIRE(
+        (state == web::ReadState::kMore || state == web::ReadState::kWhole));
     if (!this->reader->head_done()) return;
     if (this->answers.empty() || this->answers.back().whole) {
       this->answers.push_back({.status = this->reader->status(),
@@ -237,8 +234,8 @@
 std::string Loopback::Answer(const Arrival& arrival, int status,
                              const std::string& body,
                              const std::string& more_headers) {
-  const auto id = net::FindHeader(arrival.request.headers,
-                                  "samphirebank-request-id");
+  const auto id =
+      net::FindHeader(arrival.request.headers, "samphirebank-request-id");
   return "HTTP/1.1 " + std::to_string(status) +
          " X\r\nSamphirebank-Request-Id: " + id.value_or("") +
          "\r\nSamphirebank-Response-Seal: s\r\n" + more_headers +
--- a/samphirebank/gateway/loopback_test.cc
+++ b/samphirebank/gateway/loopback_test.cc
@@ -66,8 +66,9 @@
   FakeTarget& target = fleet.AddTarget("plain", Replies(200, "hello"));
   CHECK(OneAnswer(fleet, "/nowhere/").status == 404);
   auto caller = fleet.Call();
-  caller->Send("GET /once/ HTTP/1.1\r\nHost: shop.example\r\n"
-               "Samphirebank-Request-Id: x\r\nX-Api-Key: wrong\r\n\r\n");
+  caller->Send(
+      "GET /once/ HTTP/1.1\r\nHost: shop.example\r\n"
+      "Samphirebank-Request-Id: x\r\nX-Api-Key: wrong\r\n\r\n");
   fleet.Until([&] { return !caller->answers.empty(); });
   CHECK(caller->answers[0].status == 401);
   CHECK(target.arrivals.empty());
@@ -147,10 +148,10 @@
   Loopback fleet;
   std::string bytes;
   fleet.AddTarget("plain", [&](const Arrival& arrival) {
-    const auto id = net::FindHeader(arrival.request.headers,
-                                    "samphirebank-request-id");
-    arrival.connection->Send("HTTP/1.1 200 OK\r\nSamphirebank-Request-Id: " +
-                             *id + "\r\n" + bytes);
+    const auto id =
+        net::FindHeader(arrival.request.headers, "samphirebank-request-id");
+    arrival.connection->Send(
+        "HTTP/1.1 200 OK\r\nSamphirebank-Request-Id: " + *id + "\r\n" + bytes);
     arrival.connection->CloseAfterSending();
   });
   for (const char* rest :
@@ -226,9 +227,8 @@
 TEST_CASE("a shutdown ends what runs and refuses what comes too late") {
   Loopback fleet;
   std::vector<Arrival> waiting;
-  fleet.AddTarget("plain", [&](const Arrival& arrival) {
-    waiting.push_back(arrival);
-  });
+  fleet.AddTarget("plain",
+                  [&](const Arrival& arrival) { waiting.push_back(arrival); });
   auto running = fleet.Call();
   running->Send(Loopback::Request("/once/"));
   auto kept = fleet.Call();
--- a/samphirebank/gateway/metrics.cc
+++ b/samphirebank/gateway/metrics.cc
@@ -26,19 +26,18 @@
           {.name = "repeats_denied_total",
            .help = "Requests not sent again for want of budget."})),
       connects(this->registry.AddCounter(
-          {.name = "connects_total",
-           .help = "New connections to targets."})),
+          {.name = "connects_total", .help = "New connections to targets."})),
       unreachable(this->registry.AddCounter(
           {.name = "unreachable_total",
            .help = "Connections to targets that did not come about."})),
       passed_over(this->registry.AddCounter(
           {.name = "passed_over_total",
            .help = "Times that a target was passed over for a while."})),
-      sessions(this->registry.AddGauge(
-          {.name = "caller_connections", .help = "Open callers' connections."})),
-      idle_connections(this->registry.AddGauge(
-          {.name = "idle_connections",
-           .help = "Kept connections to targets."})),
+      sessions(this->registry.AddGauge({.name = "caller_connections",
+                                        .help = "Open callers' connections."})),
+      idle_connections(
+          this->registry.AddGauge({.name = "idle_connections",
+                                   .help = "Kept connections to targets."})),
       targets(this->registry.AddGauge(
           {.name = "targets", .help = "Targets in the directory."})),
       table_version(this->registry.AddGauge(
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -42,17 +42,18 @@
 
 void Exchange::SendToTarget() {
   const TimePoint now = Now();
-  const auto chosen =
-      this->server.ChooseTarget(this->service, this->work, now);
+  const auto chosen = this->server.ChooseTarget(this->service, this->work, now);
   if (!chosen) {
     if (this->progress.answer_begun) return this->Cut("no target");
     if (this->progress.may_have_run) return this->FailUnknown(502, "no target");
     return this->RefuseForNow("no target");
   }
-  this->sending = Sending{.target = chosen->id, .address = chosen->address};
+  if (!this->AdmitPrompt(chosen->wait)) return;
+  this->sending = Sending{.target = chosen->id,
+                          .address = chosen->address,
+                          .reading = chosen->reading};
   this->last_target = chosen->id;
-  const bool once =
-      this->progress.repetition == routes::Repetition::kNever;
+  const bool once = this->progress.repetition == routes::Repetition::kNever;
   auto kept = this->server.pool().Take(chosen->address,
                                        once ? kMostIdleOnce : kMostIdle, now);
   if (kept != nullptr) return this->OnConnection(std::move(kept));
@@ -71,8 +72,7 @@
     return;
   }
   if (connection == nullptr) {
-    this->server.NoteUnreachable(this->sending->target,
-                                 this->sending->address);
+    this->server.NoteUnreachable(this->sending->target, this->sending->address);
     this->work.tried.insert(this->sending->target);
     this->sending.reset();
     ++this->progress.connects;
@@ -83,7 +83,7 @@
   ++this->progress.sends;
   this->work.tried.insert(this->sending->target);
   dispatch::NoteSent(this->server.book(), this->sending->target, this->work,
-                     now);
+                     this->sending->reading, now);
   events::Event event = this->EventOf(Number::kRequestDispatched);
   event.address = this->sending->address.ToText();
   event.revision = Revision(this->index->table.version.value);
@@ -147,8 +147,8 @@
                      current.head.request != this->call.id);
   if (current.foreign) return ++current.foreign_seen <= kMostForeign;
   if (current.head.load) {
-    dispatch::NoteLoad(this->server.book(), current.target,
-                       *current.head.load, Now());
+    dispatch::NoteLoad(this->server.book(), current.target, *current.head.load,
+                       Now());
   }
   return true;
 }
@@ -174,7 +174,7 @@
   if (current.foreign || piece.empty()) return;
   if (!current.read_noted) {
     current.read_noted = true;
-    dispatch::NoteRead(this->server.book(), current.target, this->work);
+    dispatch::NoteRead(this->server.book(), current.target, current.reading);
   }
   if (this->IsSuccess() && this->route->streamed) {
     return this->PassEvents(piece);
@@ -271,7 +271,7 @@
   const bool was_sent = current.reader != nullptr;
   if (!was_sent) return;
   if (!current.read_noted) {
-    dispatch::NoteRead(this->server.book(), current.target, this->work);
+    dispatch::NoteRead(this->server.book(), current.target, current.reading);
   }
   this->server.NoteSendEnd(current.target, ending);
 }
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -86,8 +86,7 @@
   this->callers = std::make_unique<web::Listener>(
       this->event_loop, this->settings.caller_address,
       [this](std::shared_ptr<web::Connection> connection) {
-        auto session =
-            std::make_shared<Session>(*this, std::move(connection));
+        auto session = std::make_shared<Session>(*this, std::move(connection));
         this->sessions.insert(session);
         session->Start();
       });
@@ -123,6 +122,7 @@
   const TimePoint now = Now();
   this->WatchControl(now);
   this->SendPolls(now);
+  this->ReportLoad(now);
   this->ForgetTargets(now);
   this->connections.Sweep(now);
   dispatch::ForgetOld(this->targets_book, now);
@@ -155,13 +155,12 @@
 }
 
 void Server::SendPolls(TimePoint now) {
-  const routes::TableVersion version =
-      this->table == nullptr ? routes::TableVersion()
-                             : this->table->table.version;
+  const routes::TableVersion version = this->table == nullptr
+                                           ? routes::TableVersion()
+                                           : this->table->table.version;
   for (const InstanceId& to : follow::TakeDuePolls(this->follower, now)) {
-    this->peers->Send(
-        this->PeerAddress(to),
-        wire::Encode(follow::PollOf(this->follower, to, version)));
+    this->peers->Send(this->PeerAddress(to), wire::Encode(follow::PollOf(
+                                                 this->follower, to, version)));
   }
 }
 
@@ -175,6 +174,9 @@
           BOOST_LEAF_AUTO(update,
                           wire::Decode<follow::TableUpdate>(opened.packet));
           this->InstallTable(opened.from, std::move(update.table));
+        } else if (opened.packet.kind == wire::Kind::kLoadSum) {
+          BOOST_LEAF_AUTO(sum, wire::Decode<fleetload::LoadSum>(opened.packet));
+          this->TakeLoadSum(sum.load, Now());
         }
         return {};
       },
--- a/samphirebank/gateway/session.cc
+++ b/samphirebank/gateway/session.cc
@@ -18,9 +18,7 @@
 }  // namespace
 
 Session::Session(Server& owner, std::shared_ptr<web::Connection> accepted)
-    : server(owner),
-      connection(std::move(accepted)),
-      timer(owner.loop()) {}
+    : server(owner), connection(std::move(accepted)), timer(owner.loop()) {}
 
 void Session::Start() {
   this->connection->Start(
@@ -79,8 +77,8 @@
   if (state != web::ReadState::kWhole) return this->RefuseRequest(state);
   web::Request request = this->reader->Take();
   this->keep_alive = request.keep_alive;
-  this->exchange = std::make_shared<Exchange>(this->server, *this,
-                                              std::move(request));
+  this->exchange =
+      std::make_shared<Exchange>(this->server, *this, std::move(request));
   // The exchange may end, and with it be replaced, inside Start.
   const std::shared_ptr<Exchange> started = this->exchange;
   started->Start();
--- a/samphirebank/gateway/targets.cc
+++ b/samphirebank/gateway/targets.cc
@@ -41,8 +41,11 @@
   const auto chosen =
       dispatch::Choose(this->targets_book, candidates, work, now);
   if (!chosen) return std::nullopt;
-  return ChosenTarget{.id = ready[*chosen]->id,
-                      .address = ready[*chosen]->address};
+  const directory::Announcement& target = *ready[chosen->index];
+  return ChosenTarget{.id = target.id,
+                      .address = target.address,
+                      .wait = chosen->wait,
+                      .reading = chosen->reading};
 }
 
 dispatch::Distance Server::DistanceTo(const ZoneId& zone) const {
@@ -61,6 +64,11 @@
   if (found == this->targets_book.records.end()) return "first request";
   const dispatch::Record& record = found->second;
   std::string text = "own in flight " + std::to_string(record.in_flight);
+  const auto waits = std::chrono::duration_cast<milliseconds>(
+      record.unread + record.others_unread);
+  if (waits.count() > 0) {
+    text += ", prompts waiting " + std::to_string(waits.count()) + " ms";
+  }
   if (!record.load) return text;
   const auto age =
       std::chrono::duration_cast<milliseconds>(now - record.load_at);
@@ -100,10 +108,10 @@
 
 forwarding::BudgetOptions Server::BudgetOptions() const {
   const double gateways = std::max<uint32_t>(this->follower.gateways, 1);
-  return {.window = this->settings.repeat_window,
-          .ratio = kRatioUsed * this->settings.repeat_percent / 100.0,
-          .allowance =
-              kAllowanceUsed * this->settings.repeat_allowance / gateways};
+  return {
+      .window = this->settings.repeat_window,
+      .ratio = kRatioUsed * this->settings.repeat_percent / 100.0,
+      .allowance = kAllowanceUsed * this->settings.repeat_allowance / gateways};
 }
 
 void Server::NoteServiceRequest(const ServiceId& service) {
--- a/samphirebank/link/link.cc
+++ b/samphirebank/link/link.cc
@@ -115,15 +115,14 @@
     uint32_t& running = this->transfers[to];
     if (running >= kMostTransfers) return;
     ++running;
-    web::Connect(
-        this->loop, to, kConnectLimit,
-        [this, to, bytes = std::move(bytes)](
-            const std::shared_ptr<web::Connection>& connection) {
-          --this->transfers[to];
-          if (connection == nullptr) return;
-          connection->Send(bytes);
-          connection->CloseAfterSending();
-        });
+    web::Connect(this->loop, to, kConnectLimit,
+                 [this, to, bytes = std::move(bytes)](
+                     const std::shared_ptr<web::Connection>& connection) {
+                   --this->transfers[to];
+                   if (connection == nullptr) return;
+                   connection->Send(bytes);
+                   connection->CloseAfterSending();
+                 });
   }
 
   asio::io_context& loop;
--- a/samphirebank/replication/member.cc
+++ b/samphirebank/replication/member.cc
@@ -140,15 +140,16 @@
     this->hooks.restore(*recovered.snapshot->data);
     this->applied = recovered.snapshot->head.index;
   }
-  consensus::Options member{.self = this->disk->self(),
-                            .seed = RandomNumber(),
-                            .election_timeout = this->options.election_timeout,
-                            .announce_interval =
-                                this->options.announce_interval};
+  consensus::Options member{
+      .self = this->disk->self(),
+      .seed = RandomNumber(),
+      .election_timeout = this->options.election_timeout,
+      .announce_interval = this->options.announce_interval};
   for (const InstanceId& peer : this->options.peers) {
     if (peer != self) member.peers.push_back(peer);
   }
-  this->state = consensus::Start(std::move(member), std::move(recovered), Now());
+  this->state =
+      consensus::Start(std::move(member), std::move(recovered), Now());
 }
 
 void Member::Step(const consensus::Event& event) {
--- a/samphirebank/replication/replacement.cc
+++ b/samphirebank/replication/replacement.cc
@@ -4,8 +4,8 @@
 #include <string>
 #include <utility>
 
-#include "samphirebank/replication/internal/member.h"
 #include "samphirebank/events/events.h"
+#include "samphirebank/replication/internal/member.h"
 
 namespace samphirebank::replication {
 namespace {
@@ -49,15 +49,14 @@
 
 }  // namespace
 
-void Member::ChangeMembership(
-    const consensus::MembershipChange& change, MembershipDone done) {
+void Member::ChangeMembership(const consensus::MembershipChange& change,
+                              MembershipDone done) {
   const consensus::ProposalTag tag(this->next_tag++);
   this->changes[tag] = std::move(done);
   this->Step(consensus::ProposeMembership{.tag = tag, .change = change});
 }
 
-void Member::Replace(const InstanceId& instance,
-                                   ReplaceDone done) {
+void Member::Replace(const InstanceId& instance, ReplaceDone done) {
   if (!this->leads()) return done("this instance does not lead");
   const auto& voting =
       consensus::CurrentMembership(this->state).membership.voters;
@@ -76,8 +75,7 @@
                   .done = std::move(done)}));
 }
 
-void Member::Admit(
-    const std::shared_ptr<Replacement>& replacement) {
+void Member::Admit(const std::shared_ptr<Replacement>& replacement) {
   const auto& current = consensus::CurrentMembership(this->state);
   if (current.membership.learners.contains(replacement->found)) {
     return this->Swap(replacement);
@@ -93,12 +91,11 @@
           return replacement->done(FailureText(outcome));
         }
         this->hooks.after(kReplaceRetry,
-                         [this, replacement] { this->Admit(replacement); });
+                          [this, replacement] { this->Admit(replacement); });
       });
 }
 
-void Member::Swap(
-    const std::shared_ptr<Replacement>& replacement) {
+void Member::Swap(const std::shared_ptr<Replacement>& replacement) {
   this->ChangeMembership(
       {.kind = consensus::ChangeKind::kReplace,
        .member = replacement->lost,
@@ -113,7 +110,7 @@
           return replacement->done(FailureText(outcome));
         }
         this->hooks.after(kReplaceRetry,
-                         [this, replacement] { this->Swap(replacement); });
+                          [this, replacement] { this->Swap(replacement); });
       });
 }
 
--- a/samphirebank/replication/replication.h
+++ b/samphirebank/replication/replication.h
@@ -39,8 +39,7 @@
 
 // ProposalDone receives the result. For kCommitted, `last` is the index of the
 // last entry, which was passed to Hooks::apply before.
-using ProposalDone =
-    std::function<void(ProposalResult result, LogIndex last)>;
+using ProposalDone = std::function<void(ProposalResult result, LogIndex last)>;
 
 // RoundDone receives whether this instance led at `started_at`.
 using RoundDone = std::function<void(bool confirmed, TimePoint started_at)>;
@@ -90,8 +89,7 @@
   virtual ~Replication() = default;
 
   // Propose appends entries one after the other, with none between them.
-  virtual void Propose(std::vector<std::string> entries,
-                       ProposalDone done) = 0;
+  virtual void Propose(std::vector<std::string> entries, ProposalDone done) = 0;
   // Confirm asks the quorum whether this instance leads.
   virtual void Confirm(RoundDone done) = 0;
   // Replace gives the vote of `instance`'s lost data folder to the folder
--- a/samphirebank/replication/upkeep.cc
+++ b/samphirebank/replication/upkeep.cc
@@ -16,10 +16,9 @@
                    TimePoint now) {
   if (member == view.self) return Duration::zero();
   const auto found = view.heard.find(member);
-  const TimePoint since =
-      found == view.heard.end()
-          ? view.leads_since
-          : std::max(found->second, view.leads_since);
+  const TimePoint since = found == view.heard.end()
+                              ? view.leads_since
+                              : std::max(found->second, view.leads_since);
   return now - since;
 }
 
@@ -59,9 +58,8 @@
     if (!newest || *newest == voter || voter == view.self) continue;
     if (!view.membership.learners.contains(*newest)) continue;
     if (!IsAlive(view, options, *newest, now)) continue;
-    return MembershipChange{.kind = ChangeKind::kReplace,
-                            .member = voter,
-                            .replacement = *newest};
+    return MembershipChange{
+        .kind = ChangeKind::kReplace, .member = voter, .replacement = *newest};
   }
   return std::nullopt;
 }
@@ -84,9 +82,8 @@
   }
   for (const MemberId& voter : view.membership.voters) {
     if (SilentFor(view, voter, now) < options.silent) continue;
-    return MembershipChange{.kind = ChangeKind::kReplace,
-                            .member = voter,
-                            .replacement = *learner};
+    return MembershipChange{
+        .kind = ChangeKind::kReplace, .member = voter, .replacement = *learner};
   }
   return std::nullopt;
 }
--- a/samphirebank/replication/upkeep_test.cc
+++ b/samphirebank/replication/upkeep_test.cc
@@ -66,8 +66,9 @@
 
 TEST_CASE("an empty folder at an old address gets the old folder's vote") {
   Group group;
-  group.heard = {
-      {Name("b"), kStart}, {Name("c"), kStart}, {Name("c", 2), kStart + seconds(1)}};
+  group.heard = {{Name("b"), kStart},
+                 {Name("c"), kStart},
+                 {Name("c", 2), kStart + seconds(1)}};
   const TimePoint now = kStart + seconds(1);
   auto change = group.Plan(now);
   REQUIRE(change);
--- a/samphirebank/routes/routes_test.cc
+++ b/samphirebank/routes/routes_test.cc
@@ -16,13 +16,13 @@
 }
 
 RouteTable SmallTable() {
-  return {.version = TableVersion(3),
-          .routes = {MakeRoute("r1", "/board/"), MakeRoute("r2", "/"),
-                     MakeRoute("r3", "/board/7/")},
-          .services = {{.id = ServiceId("a")}, {.id = ServiceId("b")}},
-          .organisations = {
-              {.id = OrganisationId("x"), .api_keys = {"k1", "k2"}},
-              {.id = OrganisationId("y"), .api_keys = {"k3"}}}};
+  return {
+      .version = TableVersion(3),
+      .routes = {MakeRoute("r1", "/board/"), MakeRoute("r2", "/"),
+                 MakeRoute("r3", "/board/7/")},
+      .services = {{.id = ServiceId("a")}, {.id = ServiceId("b")}},
+      .organisations = {{.id = OrganisationId("x"), .api_keys = {"k1", "k2"}},
+                        {.id = OrganisationId("y"), .api_keys = {"k3"}}}};
 }
 
 TEST_CASE("the longest prefix of the host wins") {
--- a/samphirebank/settings/flag_kinds.cc
+++ b/samphirebank/settings/flag_kinds.cc
@@ -220,9 +220,9 @@
 }
 
 Flag LogFileFlag(std::string* into) {
-  Flag log = TextFlag(
-      "log-file", "file that events are appended to; - is standard output",
-      into);
+  Flag log =
+      TextFlag("log-file",
+               "file that events are appended to; - is standard output", into);
   log.default_value = "standard error";
   return log;
 }
--- a/samphirebank/settings/gateway.cc
+++ b/samphirebank/settings/gateway.cc
@@ -42,10 +42,10 @@
             .help = "the region of an availability zone; name all zones",
             .allowed = "availability zone=region",
             .repeated = true,
-            .take = [into](
-                        const std::string& value) {
-              return TakeZone(value, &into->zones);
-            }},
+            .take =
+                [into](const std::string& value) {
+                  return TakeZone(value, &into->zones);
+                }},
        FleetKeyFlag(&into->fleet_key),
        MillisecondsFlag("grace-ms",
                         "how long a shutdown may take before the process is "
--- a/samphirebank/settings/settings_test.cc
+++ b/samphirebank/settings/settings_test.cc
@@ -130,8 +130,10 @@
 }
 
 Arguments GatewayArguments() {
-  return {"--instance", "g1", "--region", "south", "--availability-zone", "a",
-          "--caller-address", "127.0.0.1:1", "--ready-address", "127.0.0.1:2"};
+  return {
+      "--instance",          "g1",         "--region",         "south",
+      "--availability-zone", "a",          "--caller-address", "127.0.0.1:1",
+      "--ready-address",     "127.0.0.1:2"};
 }
 
 TEST_CASE("a gateway reads lists from variables") {
@@ -150,12 +152,20 @@
 }
 
 TEST_CASE("a coordinator must be told whether the fleet is new") {
-  const Arguments arguments = {
-      "--instance", "c1", "--region", "south", "--availability-zone", "a",
-      "--control-address", "127.0.0.1:1", "--data-folder", "x",
-      "--seed", "10.0.0.1:1"};
-  CHECK(Names(ParseCoordinator(arguments, Secrets()).findings,
-              "--first-start"));
+  const Arguments arguments = {"--instance",
+                               "c1",
+                               "--region",
+                               "south",
+                               "--availability-zone",
+                               "a",
+                               "--control-address",
+                               "127.0.0.1:1",
+                               "--data-folder",
+                               "x",
+                               "--seed",
+                               "10.0.0.1:1"};
+  CHECK(
+      Names(ParseCoordinator(arguments, Secrets()).findings, "--first-start"));
   Arguments told = arguments;
   told.insert(told.end(), {"--first-start", "true"});
   CHECK(ParseCoordinator(told, Secrets()).settings.first_start);
--- a/samphirebank/web/connection.cc
+++ b/samphirebank/web/connection.cc
@@ -213,19 +213,18 @@
 }
 
 void Listener::Accept() {
-  this->acceptor.async_accept(
-      [this](const error_code& error, tcp::socket accepted) {
-        if (error == asio::error::operation_aborted) return;
-        if (!error) {
-          this->on_connection(
-              std::make_shared<Connection>(std::move(accepted)));
-          return this->Accept();
-        }
-        this->retry_timer.expires_after(kAcceptRetry);
-        this->retry_timer.async_wait([this](const error_code& stopped) {
-          if (!stopped) this->Accept();
-        });
-      });
+  this->acceptor.async_accept([this](const error_code& error,
+                                     tcp::socket accepted) {
+    if (error == asio::error::operation_aborted) return;
+    if (!error) {
+      this->on_connection(std::make_shared<Connection>(std::move(accepted)));
+      return this->Accept();
+    }
+    this->retry_timer.expires_after(kAcceptRetry);
+    this->retry_timer.async_wait([this](const error_code& stopped) {
+      if (!stopped) this->Accept();
+    });
+  });
 }
 
 void Listener::Stop() {
--- a/samphirebank/web/encode.cc
+++ b/samphirebank/web/encode.cc
@@ -36,8 +36,8 @@
 }  // namespace
 
 std::string ReasonOf(int status) {
-  const auto known = boost::beast::http::int_to_status(
-      static_cast<unsigned>(status));
+  const auto known =
+      boost::beast::http::int_to_status(static_cast<unsigned>(status));
   return std::string(boost::beast::http::obsolete_reason(known));
 }
 
--- a/samphirebank/web/readers.cc
+++ b/samphirebank/web/readers.cc
@@ -59,9 +59,8 @@
 RequestReader::RequestReader(ReadLimits limits)
     : impl(std::make_unique<Impl>()) {
   this->impl->parser.eager(true);
-  this->impl->parser.header_limit(
-      static_cast<uint32_t>(std::min<uint64_t>(
-          limits.head_bytes, std::numeric_limits<uint32_t>::max())));
+  this->impl->parser.header_limit(static_cast<uint32_t>(std::min<uint64_t>(
+      limits.head_bytes, std::numeric_limits<uint32_t>::max())));
   this->impl->parser.body_limit(limits.body_bytes);
 }
 
--- a/samphirebank/web/server.cc
+++ b/samphirebank/web/server.cc
@@ -54,13 +54,12 @@
   void Answer(const Request& request) {
     this->answering = true;
     const bool keep = request.keep_alive;
-    this->options.on_request(
-        request, [self = this->shared_from_this(),
-                  keep](const web::Answer& answer) {
-          self->connection->Send(EncodeAnswer(answer, keep));
-          if (!keep) return self->connection->CloseAfterSending();
-          self->NextRequest();
-        });
+    this->options.on_request(request, [self = this->shared_from_this(),
+                                       keep](const web::Answer& answer) {
+      self->connection->Send(EncodeAnswer(answer, keep));
+      if (!keep) return self->connection->CloseAfterSending();
+      self->NextRequest();
+    });
   }
 
   void NextRequest() {
--- a/samphirebank/web/web_test.cc
+++ b/samphirebank/web/web_test.cc
@@ -47,8 +47,7 @@
 
 TEST_CASE("requests with doubtful framing are refused") {
   for (const char* text :
-       {"GET / HTTP/1.1\nHost: x\n\n",
-        "GET / HTTP/1.1\r\nHost : x\r\n\r\n",
+       {"GET / HTTP/1.1\nHost: x\n\n", "GET / HTTP/1.1\r\nHost : x\r\n\r\n",
         "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
         "chunked\r\n\r\n0\r\n\r\n",
         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: "
--- a/samphirebank/wire/wire.h
+++ b/samphirebank/wire/wire.h
@@ -68,6 +68,9 @@
   kFollowPoll = 14,       // gateway to coordinator: what is new?
   kFollowUpdate = 15,     // the answer: targets, members, table version
   kTableUpdate = 16,      // coordinator to gateway: a whole route table
+  kLoadReport = 17,       // gateway to coordinator: its work and rates
+  kLoadShare = 18,        // coordinator to coordinator: its gateways' sum
+  kLoadSum = 19,          // coordinator to gateway: what all others have
 };
 
 // Packet is an encoded message with its kind.
