--- a/samphirebank/admission/admission.cc
+++ b/samphirebank/admission/admission.cc
@@ -1,6 +1,7 @@
 #include "samphirebank/admission/admission.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace samphirebank::admission {
 namespace {
@@ -11,6 +12,12 @@
 
 }  // namespace
 
+double CapacityToShare(double stated, double admitted) {
+  constexpr double kGrowth = 1.1;
+  if (stated <= 0.0) return std::numeric_limits<double>::infinity();
+  return std::max(stated, admitted * kGrowth);
+}
+
 bool Admits(const Options& options, const Question& question) {
   if (question.wait <= options.idle) return true;
   const double shares = question.used / question.level;
--- a/samphirebank/admission/admission.h
+++ b/samphirebank/admission/admission.h
@@ -29,7 +29,7 @@
   // The longest wait before a prompt is read, in parts of the latency target:
   // of an organisation that used just its share, falling with the square of
   // what it used, and of any.
-  double at_share = 0.4;
+  double at_share = 0.25;
   double at_most = 1.2;
   // A target at which less waits takes any request: capacity must not idle.
   Duration idle = std::chrono::milliseconds(8);
@@ -39,6 +39,11 @@
   Duration last_return = std::chrono::milliseconds(2500);
 };
 
+// CapacityToShare is what the fair shares are taken of, in tokens a second:
+// what the targets are stated to make, or a little more than what was admitted
+// lately where they make more. A stated capacity of 0 is not stated.
+double CapacityToShare(double stated, double admitted);
+
 // Question is one prompt.
 struct Question {
   Duration latency_target{};
--- a/samphirebank/gateway/fleet_view.cc
+++ b/samphirebank/gateway/fleet_view.cc
@@ -2,7 +2,6 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
-#include <limits>
 #include <utility>
 
 #include "samphirebank/gateway/internal/server.h"
@@ -81,40 +80,51 @@
   this->RefreshLevel(now);
 }
 
-void Server::RefreshLevel(TimePoint now) {
-  const Tokens capacity = this->table == nullptr
-                              ? Tokens()
-                              : this->table->table.limits.tokens_per_second;
-  if (capacity == Tokens()) {
-    this->fair_level = std::numeric_limits<double>::infinity();
-    return;
+bool Server::IsTold(TimePoint now) const {
+  return this->others_told_at &&
+         now - *this->others_told_at < fleetload::kFresh;
+}
+
+// Without news of the others they are taken to be like this one.
+double Server::GatewaysAlike(TimePoint now) const {
+  return this->IsTold(now) ? 1.0
+                           : std::max<uint32_t>(this->follower.gateways, 1);
+}
+
+void Server::GuessOthers(TimePoint now) {
+  const double others = this->GatewaysAlike(now) - 1.0;
+  this->others_usage.clear();
+  for (auto& [target, record] : this->targets_book.records) {
+    record.others_unread =
+        std::chrono::duration_cast<Duration>(record.unread * others);
   }
-  const bool told =
-      this->others_told_at && now - *this->others_told_at < fleetload::kFresh;
-  // Without news of the others they are taken to be like this one.
-  const double alike =
-      told ? 1.0 : std::max<uint32_t>(this->follower.gateways, 1);
+}
+
+void Server::RefreshLevel(TimePoint now) {
+  if (!this->IsTold(now)) this->GuessOthers(now);
+  const double alike = this->GatewaysAlike(now);
   std::unordered_map<fleetload::Key, double> asked;
+  double admitted = 0.0;  // tokens a second, by all
   for (const auto& [organisation, used] : this->usage) {
     asked[fleetload::KeyOf(organisation.value)] +=
         alike * fleetload::Rate(used.asked, now);
+    admitted += alike * fleetload::Rate(used.admitted, now);
   }
-  if (told) {
-    for (const auto& [organisation, use] : this->others_usage) {
-      asked[organisation] += use.asked;
-    }
-  } else {
-    this->others_usage.clear();
-    for (auto& [target, record] : this->targets_book.records) {
-      record.others_unread =
-          std::chrono::duration_cast<Duration>(record.unread * (alike - 1.0));
-    }
+  for (const auto& [organisation, use] : this->others_usage) {
+    asked[organisation] += use.asked;
+    admitted += use.admitted;
   }
   std::vector<double> asks;
   asks.reserve(asked.size());
   for (const auto& [organisation, ask] : asked) asks.push_back(ask);
-  this->fair_level = fleetload::FairLevel(std::move(asks),
-                                          static_cast<double>(capacity.value));
+  this->fair_level = fleetload::FairLevel(
+      std::move(asks),
+      admission::CapacityToShare(this->StatedCapacity(), admitted));
+}
+
+double Server::StatedCapacity() const {
+  if (this->table == nullptr) return 0.0;
+  return static_cast<double>(this->table->table.limits.tokens_per_second.value);
 }
 
 Share Server::ShareOf(const OrganisationId& organisation, TimePoint now) const {
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -111,7 +111,11 @@
   void SendPolls(TimePoint now);
   void ReportLoad(TimePoint now);
   void TakeLoadSum(const fleetload::Load& load, TimePoint now);
+  bool IsTold(TimePoint now) const;
+  double GatewaysAlike(TimePoint now) const;
+  void GuessOthers(TimePoint now);
   void RefreshLevel(TimePoint now);
+  double StatedCapacity() const;
   void OnPacket(const wire::Opened& opened);
   void OnUpdate(const InstanceId& from, const follow::Update& update);
   void InstallTable(const InstanceId& from, routes::RouteTable newer);
--- a/samphirebank/link/link.cc
+++ b/samphirebank/link/link.cc
@@ -45,8 +45,8 @@
         transfer_sealer(this->options.key, this->options.self, RandomBoot()),
         opener(this->options.key),
         listener(event_loop, this->options.address,
-                 [this](std::shared_ptr<web::Connection> connection) {
-                   this->Receive(std::move(connection));
+                 [this](const std::shared_ptr<web::Connection>& connection) {
+                   this->Receive(connection);
                  }) {
     error_code error;
     const udp::endpoint endpoint(
@@ -84,7 +84,7 @@
     }
   }
 
-  void Receive(std::shared_ptr<web::Connection> connection) {
+  void Receive(const std::shared_ptr<web::Connection>& connection) {
     const std::weak_ptr<web::Connection> weak = connection;
     connection->Start(
         [weak] {
