--- a/samphirebank/admission/admission.cc
+++ b/samphirebank/admission/admission.cc
@@ -1,7 +1,6 @@
 #include "samphirebank/admission/admission.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace samphirebank::admission {
 namespace {
@@ -12,16 +11,17 @@
 
 }  // namespace
 
-double CapacityToShare(double stated, double admitted) {
+double PresentCapacity(double stated, double admitted) {
   constexpr double kGrowth = 1.1;
-  if (stated <= 0.0) return std::numeric_limits<double>::infinity();
   return std::max(stated, admitted * kGrowth);
 }
 
 bool Admits(const Options& options, const Question& question) {
   if (question.wait <= options.idle) return true;
-  const double shares = question.used / question.level;
-  const double part = options.at_share / (shares * shares);
+  const double owed = question.levels.owed / question.used;
+  const double present = question.levels.present / question.used;
+  const double part = std::max(options.at_owed * owed * owed,
+                               options.at_present * present * present);
   return question.wait <=
          Part(question.latency_target, std::min(part, options.at_most));
 }
--- a/samphirebank/admission/admission.h
+++ b/samphirebank/admission/admission.h
@@ -11,7 +11,7 @@
 // Example:
 //
 //   if (!Admits(options, {.latency_target = target, .wait = wait,
-//                         .used = used, .level = level})) {
+//                         .used = used, .levels = levels})) {
 //     Refuse(ReturnAfter(options, used, level, seed));
 //   }
 #ifndef SAMPHIREBANK_ADMISSION_ADMISSION_H_
@@ -27,9 +27,11 @@
 // Options of the decision.
 struct Options {
   // The longest wait before a prompt is read, in parts of the latency target:
-  // of an organisation that used just its share, falling with the square of
-  // what it used, and of any.
-  double at_share = 0.25;
+  // of an organisation that used just its owed share, and of one that used just
+  // its part of what the targets make now. Both fall with the square of what
+  // was used; the longer one holds, but never more than `at_most`.
+  double at_owed = 0.4;
+  double at_present = 0.05;
   double at_most = 1.2;
   // A target at which less waits takes any request: capacity must not idle.
   Duration idle = std::chrono::milliseconds(8);
@@ -39,17 +41,23 @@
   Duration last_return = std::chrono::milliseconds(2500);
 };
 
-// CapacityToShare is what the fair shares are taken of, in tokens a second:
-// what the targets are stated to make, or a little more than what was admitted
-// lately where they make more. A stated capacity of 0 is not stated.
-double CapacityToShare(double stated, double admitted);
+// Levels are max-min shares of one organisation, in tokens a second.
+struct Levels {
+  double owed = 0.0;     // of what the targets are stated to make
+  double present = 0.0;  // of what they make now; at least the owed one
+};
+
+// PresentCapacity is what the targets make now, in tokens a second: a little
+// more than what was admitted lately, so that it can grow, and at least what
+// they are stated to make.
+double PresentCapacity(double stated, double admitted);
 
 // Question is one prompt.
 struct Question {
   Duration latency_target{};
-  Duration wait{};     // until the best target reads the prompt
-  double used = 0.0;   // by its organisation, tokens a second over the fleet
-  double level = 0.0;  // of a fair share, tokens a second
+  Duration wait{};    // until the best target reads the prompt
+  double used = 0.0;  // by its organisation, tokens a second over the fleet
+  Levels levels{};
 };
 
 // Admits tells whether the prompt is sent.
--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -97,7 +97,7 @@
       admission::Admits(options, {.latency_target = this->route->latency_target,
                                   .wait = wait,
                                   .used = share.used,
-                                  .level = share.level});
+                                  .levels = share.levels});
   if (admitted) {
     this->server.NoteAdmitted(this->organisation, this->TokensOf());
     return true;
@@ -107,8 +107,8 @@
   this->RefuseForNow(
       "targets busy for " + std::to_string(milliseconds.count()) +
           " ms; the organisation used " + std::to_string(share.used) +
-          " tokens/s of a fair share of " + std::to_string(share.level),
-      admission::ReturnAfter(options, share.used, share.level,
+          " tokens/s of a fair share of " + std::to_string(share.levels.owed),
+      admission::ReturnAfter(options, share.used, share.levels.owed,
                              SeedOf(this->call)));
   return false;
 }
--- a/samphirebank/gateway/fleet_view.cc
+++ b/samphirebank/gateway/fleet_view.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include "samphirebank/gateway/internal/server.h"
@@ -117,18 +118,22 @@
   std::vector<double> asks;
   asks.reserve(asked.size());
   for (const auto& [organisation, ask] : asked) asks.push_back(ask);
-  this->fair_level = fleetload::FairLevel(
-      std::move(asks),
-      admission::CapacityToShare(this->StatedCapacity(), admitted));
+  const double stated = this->StatedCapacity();
+  this->levels = {
+      .owed = fleetload::FairLevel(asks, stated),
+      .present = fleetload::FairLevel(
+          std::move(asks), admission::PresentCapacity(stated, admitted))};
 }
 
 double Server::StatedCapacity() const {
-  if (this->table == nullptr) return 0.0;
+  const bool known = this->table != nullptr &&
+                     this->table->table.limits.tokens_per_second > Tokens(0);
+  if (!known) return std::numeric_limits<double>::infinity();
   return static_cast<double>(this->table->table.limits.tokens_per_second.value);
 }
 
 Share Server::ShareOf(const OrganisationId& organisation, TimePoint now) const {
-  Share share{.level = this->fair_level};
+  Share share{.levels = this->levels};
   const bool told =
       this->others_told_at && now - *this->others_told_at < fleetload::kFresh;
   const double alike =
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -46,7 +46,7 @@
 // Share is how an organisation stands, in tokens a second over the fleet.
 struct Share {
   double used = 0.0;
-  double level = 0.0;  // of a fair share now
+  admission::Levels levels{};
 };
 
 // Server is one gateway. It belongs to the loop's thread.
@@ -144,7 +144,7 @@
   // What other gateways told, and when.
   std::unordered_map<fleetload::Key, fleetload::OrganisationUse> others_usage;
   std::optional<TimePoint> others_told_at;
-  double fair_level = 0.0;  // tokens a second
+  admission::Levels levels;
   admission::Options admission;
   std::set<std::shared_ptr<Session>> sessions;
   std::unique_ptr<link::Link> peers;
