Give prompts a second home, and let what is above the owed share wait only in calm

And what is above the owed share waited at engines that were all busy.

Tests first: 'all routers take a part to one second home', 'where targets make more'.

--- a/samphirebank/admission/admission.cc
+++ b/samphirebank/admission/admission.cc
@@ -20,8 +20,12 @@
   if (question.wait <= options.idle) return true;
   const double owed = question.levels.owed / question.used;
   const double present = question.levels.present / question.used;
-  const double part = std::max(options.at_owed * owed * owed,
-                               options.at_present * present * present);
+  const std::chrono::duration<double> mean = question.mean_wait;
+  const std::chrono::duration<double> calm = options.calm;
+  const double calmness = std::max(0.0, 1.0 - mean / calm);
+  const double part =
+      std::max(options.at_owed * owed * owed,
+               options.at_present * calmness * present * present);
   return question.wait <=
          Part(question.latency_target, std::min(part, options.at_most));
 }
--- a/samphirebank/admission/admission.h
+++ b/samphirebank/admission/admission.h
@@ -29,10 +29,12 @@
   // The longest wait before a prompt is read, in parts of the latency target:
   // of an organisation that used just its owed share, and of one that used just
   // its part of what the targets make now. Both fall with the square of what
-  // was used; the longer one holds, but never more than `at_most`.
+  // was used; the longer one holds, but never more than `at_most`. The latter
+  // shrinks to nothing as the mean wait at all targets grows to `calm`.
   double at_owed = 0.4;
-  double at_present = 0.05;
+  double at_present = 0.25;
   double at_most = 1.2;
+  Duration calm = std::chrono::milliseconds(100);
   // A target at which less waits takes any request: capacity must not idle.
   Duration idle = std::chrono::milliseconds(8);
   // When those who are refused come back.
@@ -55,8 +57,9 @@
 // Question is one prompt.
 struct Question {
   Duration latency_target{};
-  Duration wait{};    // until the best target reads the prompt
-  double used = 0.0;  // by its organisation, tokens a second over the fleet
+  Duration wait{};       // until the best target reads the prompt
+  Duration mean_wait{};  // at all targets of the service
+  double used = 0.0;     // by its organisation, tokens a second over the fleet
   Levels levels{};
 };
 
--- a/samphirebank/dispatch/choose.cc
+++ b/samphirebank/dispatch/choose.cc
@@ -25,17 +25,32 @@
   return XXH64(target.value.data(), target.value.size(), key);
 }
 
-// HomeOf is the candidate that all routers take a prompt part to, as long as
+// Homes are the candidates that all routers take a prompt part to, as long as
 // they know the same targets (rendezvous hashing).
-std::optional<size_t> HomeOf(const std::vector<Candidate>& candidates,
-                             const Work& work) {
-  if (work.shared.empty() || candidates.empty()) return std::nullopt;
+struct Homes {
+  std::optional<size_t> first{};
+  std::optional<size_t> second{};
+};
+
+Homes HomesOf(const std::vector<Candidate>& candidates, const Work& work) {
+  Homes homes;
+  if (work.shared.empty()) return homes;
   const uint64_t key = work.shared.back().id;
-  size_t home = 0;
-  for (size_t i = 1; i < candidates.size(); ++i) {
-    if (Rank(candidates[i].id, key) > Rank(candidates[home].id, key)) home = i;
+  uint64_t first = 0;
+  uint64_t second = 0;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const uint64_t rank = Rank(candidates[i].id, key);
+    if (!homes.first || rank > first) {
+      homes.second = homes.first;
+      second = first;
+      homes.first = i;
+      first = rank;
+    } else if (!homes.second || rank > second) {
+      homes.second = i;
+      second = rank;
+    }
   }
-  return home;
+  return homes;
 }
 
 bool IsCached(const Book& book, const TargetId& target, uint64_t part,
@@ -47,18 +62,26 @@
          now - at->second < book.options.cache_belief;
 }
 
-// UncachedTokens is how much of the shared parts a target has to read. A part
-// helps only if all parts before it are cached too.
-Tokens UncachedTokens(const Book& book, const Candidate& candidate,
-                      bool is_home, const Work& work, TimePoint now) {
+// HitChance is how likely the shared parts are cached at a candidate, as far
+// as nothing was sent there lately.
+double HitChance(const Options& options, const Homes& homes, size_t candidate) {
+  if (homes.first == candidate) return 1.0;
+  return homes.second == candidate ? options.second_home_hit : 0.0;
+}
+
+// UncachedTokens is how much of the shared parts a target will have to read. A
+// part helps only if all parts before it are cached too.
+Tokens UncachedTokens(const Book& book, const TargetId& target,
+                      double hit_chance, const Work& work, TimePoint now) {
   Tokens uncached;
   bool prefix_cached = true;
   for (const dialect::PromptPart& part : work.shared) {
-    prefix_cached = prefix_cached &&
-                    (is_home || IsCached(book, candidate.id, part.id, now));
+    prefix_cached = prefix_cached && IsCached(book, target, part.id, now);
     if (!prefix_cached) uncached += part.tokens;
   }
-  return uncached;
+  const double missed =
+      (1.0 - hit_chance) * static_cast<double>(uncached.value);
+  return Tokens(static_cast<int64_t>(missed));
 }
 
 Milliseconds CrossingCost(const Options& options, Distance distance) {
@@ -126,9 +149,10 @@
   Milliseconds reading{};
 };
 
-Estimate EstimateOf(const Book& book, const Candidate& candidate, bool is_home,
-                    const Work& work, TimePoint now) {
-  const Tokens uncached = UncachedTokens(book, candidate, is_home, work, now);
+Estimate EstimateOf(const Book& book, const Candidate& candidate,
+                    double hit_chance, const Work& work, TimePoint now) {
+  const Tokens uncached =
+      UncachedTokens(book, candidate.id, hit_chance, work, now);
   const Tokens prompt = PromptTokens(work);
   const Milliseconds own = ReadingTime(book.options, work.own, prompt);
   const Milliseconds reading =
@@ -168,12 +192,12 @@
                              const std::vector<Candidate>& candidates,
                              const Work& work, TimePoint now) {
   const std::vector<size_t> allowed = Allowed(book, candidates, work, now);
-  const std::optional<size_t> home = HomeOf(candidates, work);
+  const Homes homes = HomesOf(candidates, work);
   std::optional<size_t> best;
   Estimate least;
   for (const size_t i : allowed) {
-    const Estimate estimate =
-        EstimateOf(book, candidates[i], home == i, work, now);
+    const Estimate estimate = EstimateOf(
+        book, candidates[i], HitChance(book.options, homes, i), work, now);
     const bool tie_won = best && estimate.cost == least.cost &&
                          Rank(candidates[i].id, work.seed) >
                              Rank(candidates[*best].id, work.seed);
@@ -185,7 +209,18 @@
   using std::chrono::duration_cast;
   return Choice{.index = *best,
                 .wait = duration_cast<Duration>(least.wait),
-                .reading = duration_cast<Duration>(least.reading)};
+                .reading = duration_cast<Duration>(least.reading),
+                .at_home = homes.first == *best};
+}
+
+Duration MeanWait(const Book& book, const std::vector<Candidate>& candidates) {
+  Milliseconds total{};
+  for (const Candidate& candidate : candidates) {
+    total += ReadWait(FindRecord(book, candidate.id));
+  }
+  if (candidates.empty()) return {};
+  return std::chrono::duration_cast<Duration>(
+      total / static_cast<double>(candidates.size()));
 }
 
 }  // namespace samphirebank::dispatch
--- a/samphirebank/dispatch/dispatch.h
+++ b/samphirebank/dispatch/dispatch.h
@@ -38,6 +38,9 @@
   // Reading a part that another target has cached delays the requests there as
   // well as its own.
   double read_again_weight = 2.0;
+  // How likely a part is cached at the target that is its second home, where
+  // all routers send it when the first one is busy.
+  double second_home_hit = 0.5;
   Duration crossing_zone = std::chrono::milliseconds(2);
   Duration crossing_region = std::chrono::milliseconds(60);
   // What each request that runs at an engine adds to another's first event.
@@ -106,9 +109,10 @@
 
 // Choice is the target that serves a request soonest.
 struct Choice {
-  size_t index = 0;    // among the candidates
-  Duration wait{};     // for the requests that are there
-  Duration reading{};  // of the prompt, as far as it is not cached
+  size_t index = 0;      // among the candidates
+  Duration wait{};       // for the requests that are there
+  Duration reading{};    // of the prompt, as far as it is not cached
+  bool at_home = false;  // where all routers expect its parts to be cached
 };
 
 // Choose returns nothing if there is no candidate.
@@ -116,6 +120,9 @@
                              const std::vector<Candidate>& candidates,
                              const Work& work, TimePoint now);
 
+// MeanWait is how long prompts wait at the candidates on average.
+Duration MeanWait(const Book& book, const std::vector<Candidate>& candidates);
+
 // NoteSent counts a request that is sent to a target, which reads its prompt
 // for `reading`.
 void NoteSent(Book& book, const TargetId& target, const Work& work,
--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -86,7 +86,7 @@
   return prompt.tokens_in + out + out;
 }
 
-bool Exchange::AdmitPrompt(Duration wait) {
+bool Exchange::AdmitPrompt(const ChosenTarget& chosen) {
   const bool judged = this->progress.sends == 0 &&
                       this->progress.connects == 0 &&
                       this->call.prompt.tokens_in > Tokens(0);
@@ -95,7 +95,8 @@
   const admission::Options& options = this->server.admission_options();
   const bool admitted =
       admission::Admits(options, {.latency_target = this->route->latency_target,
-                                  .wait = wait,
+                                  .wait = chosen.wait,
+                                  .mean_wait = chosen.mean_wait,
                                   .used = share.used,
                                   .levels = share.levels});
   if (admitted) {
@@ -103,7 +104,7 @@
     return true;
   }
   const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(wait);
+      std::chrono::duration_cast<std::chrono::milliseconds>(chosen.wait);
   this->RefuseForNow(
       "targets busy for " + std::to_string(milliseconds.count()) +
           " ms; the organisation used " + std::to_string(share.used) +
--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -21,6 +21,7 @@
 
 class Server;
 class Session;
+struct ChosenTarget;
 
 // Exchange belongs to the loop's thread. Its session outlives it, except after
 // CallerLeft.
@@ -46,7 +47,8 @@
     bool foreign = false;  // the answer being read is another request's
     uint32_t foreign_seen = 0;
     bool read_noted = false;  // the target has read the prompt
-    Duration reading{};       // of the prompt, as it was estimated
+    bool at_home = false;
+    Duration reading{};  // of the prompt, as it was estimated
     TimePoint sent_at{};
   };
 
@@ -58,7 +60,7 @@
 
   // Sending.
   void SendToTarget();
-  bool AdmitPrompt(Duration wait);
+  bool AdmitPrompt(const ChosenTarget& chosen);
   Tokens TokensOf() const;
   void OnConnection(std::shared_ptr<web::Connection> connection);
   void Listen();
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -39,8 +39,10 @@
 struct ChosenTarget {
   TargetId id{};
   net::SocketAddress address{};
-  Duration wait{};     // before its prompt is read
-  Duration reading{};  // of its prompt
+  Duration wait{};       // before its prompt is read
+  Duration mean_wait{};  // at all targets of the service
+  bool at_home = false;  // where its parts are likely to be cached
+  Duration reading{};    // of its prompt
 };
 
 // Share is how an organisation stands, in tokens a second over the fleet.
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -48,9 +48,10 @@
     if (this->progress.may_have_run) return this->FailUnknown(502, "no target");
     return this->RefuseForNow("no target");
   }
-  if (!this->AdmitPrompt(chosen->wait)) return;
+  if (!this->AdmitPrompt(*chosen)) return;
   this->sending = Sending{.target = chosen->id,
                           .address = chosen->address,
+                          .at_home = chosen->at_home,
                           .reading = chosen->reading};
   this->last_target = chosen->id;
   const bool once = this->progress.repetition == routes::Repetition::kNever;
@@ -87,7 +88,8 @@
   events::Event event = this->EventOf(Number::kRequestDispatched);
   event.address = this->sending->address.ToText();
   event.revision = Revision(this->index->table.version.value);
-  event.detail = this->server.LoadText(this->sending->target, now);
+  event.detail = (this->sending->at_home ? "home, " : "away, ") +
+                 this->server.LoadText(this->sending->target, now);
   events::Log(event);
   const dialect::SendOrder order{
       .target = this->sending->target,
--- a/samphirebank/gateway/targets.cc
+++ b/samphirebank/gateway/targets.cc
@@ -42,10 +42,13 @@
       dispatch::Choose(this->targets_book, candidates, work, now);
   if (!chosen) return std::nullopt;
   const directory::Announcement& target = *ready[chosen->index];
-  return ChosenTarget{.id = target.id,
-                      .address = target.address,
-                      .wait = chosen->wait,
-                      .reading = chosen->reading};
+  return ChosenTarget{
+      .id = target.id,
+      .address = target.address,
+      .wait = chosen->wait,
+      .mean_wait = dispatch::MeanWait(this->targets_book, candidates),
+      .at_home = chosen->at_home,
+      .reading = chosen->reading};
 }
 
 dispatch::Distance Server::DistanceTo(const ZoneId& zone) const {
