Count what is read again as wait in the admission

Ruled out: the wait itself (refusals were right for the homes). Change: the time to read again what another target has cached counts like a wait. Test: 'a prompt leaves its home' checks the part read again.

--- a/samphirebank/admission/admission.h
+++ b/samphirebank/admission/admission.h
@@ -57,7 +57,8 @@
 // Question is one prompt.
 struct Question {
   Duration latency_target{};
-  Duration wait{};       // until the best target reads the prompt
+  Duration wait{};       // until the best target has read what others have
+                         // sent, and what another target has cached
   Duration mean_wait{};  // at all targets of the service
   double used = 0.0;     // by its organisation, tokens a second over the fleet
   Levels levels{};
--- a/samphirebank/dispatch/choose.cc
+++ b/samphirebank/dispatch/choose.cc
@@ -147,6 +147,7 @@
   Milliseconds cost{};
   Milliseconds wait{};
   Milliseconds reading{};
+  Milliseconds again{};
 };
 
 Estimate EstimateOf(const Book& book, const Candidate& candidate,
@@ -163,7 +164,8 @@
                   CrossingCost(book.options, candidate.distance) +
                   LoadCost(book, candidate, now),
           .wait = wait,
-          .reading = reading};
+          .reading = reading,
+          .again = again};
 }
 
 // Allowed returns the candidates that may be chosen: not tried, not ejected.
@@ -210,6 +212,7 @@
   return Choice{.index = *best,
                 .wait = duration_cast<Duration>(least.wait),
                 .reading = duration_cast<Duration>(least.reading),
+                .again = duration_cast<Duration>(least.again),
                 .at_home = homes.first == *best};
 }
 
--- a/samphirebank/dispatch/dispatch.h
+++ b/samphirebank/dispatch/dispatch.h
@@ -112,6 +112,7 @@
   size_t index = 0;      // among the candidates
   Duration wait{};       // for the requests that are there
   Duration reading{};    // of the prompt, as far as it is not cached
+  Duration again{};      // the part of it for what is cached elsewhere
   bool at_home = false;  // where all routers expect its parts to be cached
 };
 
--- a/samphirebank/dispatch/dispatch_test.cc
+++ b/samphirebank/dispatch/dispatch_test.cc
@@ -90,6 +90,9 @@
   }
   for (int i = 0; i < 7; ++i) Send(book, engines[home], LongPrompt(5));
   CHECK(Pick(book, engines, LongPrompt(5), kStart) != home);
+  CHECK(Choose(book, engines, LongPrompt(5), kStart)->again >
+        milliseconds(100));
+  CHECK(Choose(Book{}, engines, LongPrompt(5), kStart)->again == Duration());
   for (int i = 0; i < 10; ++i) NoteRead(book, engines[home].id, reading);
   CHECK(Pick(book, engines, LongPrompt(5), kStart) == home);
 }
--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -95,7 +95,7 @@
   const admission::Options& options = this->server.admission_options();
   const bool admitted =
       admission::Admits(options, {.latency_target = this->route->latency_target,
-                                  .wait = chosen.wait,
+                                  .wait = chosen.wait + chosen.again,
                                   .mean_wait = chosen.mean_wait,
                                   .used = share.used,
                                   .levels = share.levels});
@@ -104,7 +104,8 @@
     return true;
   }
   const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(chosen.wait);
+      std::chrono::duration_cast<std::chrono::milliseconds>(chosen.wait +
+                                                            chosen.again);
   this->RefuseForNow(
       "targets busy for " + std::to_string(milliseconds.count()) +
           " ms; the organisation used " + std::to_string(share.used) +
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -42,6 +42,7 @@
   net::SocketAddress address{};
   Duration wait{};       // before its prompt is read
   Duration mean_wait{};  // at all targets of the service
+  Duration again{};      // reading of what is cached at another target
   bool at_home = false;  // where its parts are likely to be cached
   Duration reading{};    // of its prompt
 };
--- a/samphirebank/gateway/targets.cc
+++ b/samphirebank/gateway/targets.cc
@@ -47,6 +47,7 @@
       .address = target.address,
       .wait = chosen->wait,
       .mean_wait = dispatch::MeanWait(this->targets_book, candidates),
+      .again = chosen->again,
       .at_home = chosen->at_home,
       .reading = chosen->reading};
 }
