--- a/samphirebank/coordinator/orders.cc
+++ b/samphirebank/coordinator/orders.cc
@@ -5,17 +5,17 @@
 
 #include "samphirebank/coordinator/internal/server.h"
 #include "samphirebank/events/events.h"
+#include "samphirebank/process/process.h"
 
 namespace samphirebank::coordinator {
 namespace {
 
+using process::Now;
 using replication::ProposalResult;
 using std::chrono::milliseconds;
 
 constexpr char kRetryAfter[] = "0.3";  // seconds
 
-TimePoint Now() { return std::chrono::steady_clock::now(); }
-
 web::Answer Json(int status, std::string body) {
   return {.status = status,
           .headers = {{"content-type", "application/json"}},
--- a/samphirebank/coordinator/peers.cc
+++ b/samphirebank/coordinator/peers.cc
@@ -6,10 +6,12 @@
 
 #include "samphirebank/coordinator/internal/server.h"
 #include "samphirebank/events/events.h"
+#include "samphirebank/process/process.h"
 
 namespace samphirebank::coordinator {
 namespace {
 
+using process::Now;
 using std::chrono::milliseconds;
 
 // An instance that polled within this time follows.
@@ -17,8 +19,6 @@
 // A table that did not arrive is sent again.
 constexpr Duration kTableResend = milliseconds(400);
 
-TimePoint Now() { return std::chrono::steady_clock::now(); }
-
 }  // namespace
 
 void Server::OnPacket(const wire::Opened& opened) {
--- a/samphirebank/coordinator/server.cc
+++ b/samphirebank/coordinator/server.cc
@@ -1,7 +1,5 @@
 #include "samphirebank/coordinator/internal/server.h"
 
-#include <sodium.h>
-
 #include <algorithm>
 #include <chrono>
 #include <stdexcept>
@@ -9,10 +7,12 @@
 #include <vector>
 
 #include "samphirebank/events/events.h"
+#include "samphirebank/process/process.h"
 
 namespace samphirebank::coordinator {
 namespace {
 
+using process::Now;
 using std::chrono::milliseconds;
 
 constexpr Duration kTimerPeriod = milliseconds(100);
@@ -21,20 +21,6 @@
 constexpr Duration kAnnounceInterval = milliseconds(300);
 constexpr Duration kFollowerForgotten = std::chrono::seconds(60);
 
-TimePoint Now() { return std::chrono::steady_clock::now(); }
-
-BootId RandomBoot() {
-  uint64_t number = 0;
-  while (number == 0) randombytes_buf(&number, sizeof(number));
-  return BootId(number);
-}
-
-wire::FleetKey FleetKeyOf(const settings::CoordinatorSettings& settings) {
-  const auto key = wire::ParseFleetKey(settings.fleet_key.value);
-  if (!key) throw std::runtime_error("the fleet key is not 64 hex digits");
-  return *key;
-}
-
 std::vector<InstanceId> SeedInstances(
     const settings::CoordinatorSettings& settings) {
   std::vector<InstanceId> seeds;
@@ -54,7 +40,7 @@
       settings(given),
       dialect(adapter),
       self(given.identity.address),
-      boot(RandomBoot()),
+      boot(process::NewBoot()),
       others(follow::Start({.seeds = SeedInstances(given)}, Now())),
       timer(event_loop),
       leader_known_at(Now()) {
@@ -67,7 +53,7 @@
   this->peers = std::make_unique<link::Link>(
       this->loop,
       link::Options{.address = this->PeerAddress(this->self),
-                    .key = FleetKeyOf(given),
+                    .key = process::FleetKeyOf(given.fleet_key),
                     .self = this->self,
                     .on_packet = [this](const wire::Opened& opened) {
                       this->OnPacket(opened);
--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -11,20 +11,20 @@
 
 #include "samphirebank/gateway/internal/server.h"
 #include "samphirebank/gateway/internal/session.h"
+#include "samphirebank/process/process.h"
 
 namespace samphirebank::gateway {
 namespace {
 
 using boost::system::error_code;
 using events::Number;
+using process::Now;
 
 // A caller that is refused comes back after a time between these, so that
 // those refused together do not come back together.
 constexpr Duration kEarliestReturn = std::chrono::milliseconds(200);
 constexpr Duration kLatestReturn = std::chrono::milliseconds(600);
 
-TimePoint Now() { return std::chrono::steady_clock::now(); }
-
 uint64_t SeedOf(const dialect::Call& call) {
   return XXH64(call.id.value.data(), call.id.value.size(), 0);
 }
--- a/samphirebank/gateway/fleet_view.cc
+++ b/samphirebank/gateway/fleet_view.cc
@@ -6,17 +6,17 @@
 #include <utility>
 
 #include "samphirebank/gateway/internal/server.h"
+#include "samphirebank/process/process.h"
 
 namespace samphirebank::gateway {
 namespace {
 
+using process::Now;
 using std::chrono::milliseconds;
 
 // Rates below it, in tokens a second, are not told and forgotten.
 constexpr double kLeastRate = 1.0;
 
-TimePoint Now() { return std::chrono::steady_clock::now(); }
-
 uint32_t Whole(double rate) {
   return static_cast<uint32_t>(std::lround(std::max(rate, 0.0)));
 }
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -6,6 +6,7 @@
 #include "samphirebank/gateway/internal/exchange.h"
 #include "samphirebank/gateway/internal/server.h"
 #include "samphirebank/gateway/internal/session.h"
+#include "samphirebank/process/process.h"
 
 namespace samphirebank::gateway {
 namespace {
@@ -14,6 +15,7 @@
 using events::Number;
 using forwarding::Next;
 using forwarding::SendEnd;
+using process::Now;
 using std::chrono::milliseconds;
 
 constexpr Duration kConnectLimit = milliseconds(600);
@@ -26,8 +28,6 @@
 // Above it the target is read no further until the caller has caught up.
 constexpr size_t kMostQueued = 256 << 10;
 
-TimePoint Now() { return std::chrono::steady_clock::now(); }
-
 bool IsInformational(int status) { return status >= 100 && status < 200; }
 
 // These statuses promise that the request has not run.
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -1,7 +1,5 @@
 #include "samphirebank/gateway/internal/server.h"
 
-#include <sodium.h>
-
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <chrono>
@@ -10,12 +8,14 @@
 
 #include "samphirebank/events/events.h"
 #include "samphirebank/gateway/internal/session.h"
+#include "samphirebank/process/process.h"
 
 namespace samphirebank::gateway {
 namespace {
 
 using boost::system::error_code;
 using events::Number;
+using process::Now;
 using std::chrono::milliseconds;
 
 constexpr Duration kTimerPeriod = milliseconds(100);
@@ -31,14 +31,6 @@
 constexpr size_t kMostSessions = 2000;
 constexpr Duration kShutdownMargin = milliseconds(300);
 
-TimePoint Now() { return std::chrono::steady_clock::now(); }
-
-wire::FleetKey FleetKeyOf(const settings::GatewaySettings& settings) {
-  const auto key = wire::ParseFleetKey(settings.fleet_key.value);
-  if (!key) throw std::runtime_error("the fleet key is not 64 hex digits");
-  return *key;
-}
-
 follow::Options FollowOptions(const settings::GatewaySettings& settings) {
   follow::Options options;
   for (const net::SocketAddress& seed : settings.seeds) {
@@ -47,12 +39,6 @@
   return options;
 }
 
-BootId RandomBoot() {
-  uint64_t number = 0;
-  randombytes_buf(&number, sizeof(number));
-  return BootId(number);
-}
-
 }  // namespace
 
 Server::Server(boost::asio::io_context& given_loop,
@@ -66,7 +52,7 @@
       in_contact_since(Now()) {
   events::Open({.instance = given.identity.instance,
                 .role = "gateway",
-                .boot = RandomBoot(),
+                .boot = process::NewBoot(),
                 .file = given.log_file});
   events::Log({.number = Number::kProcessStarted});
   for (const settings::ZoneInRegion& item : given.zones) {
@@ -82,7 +68,7 @@
   this->peers = std::make_unique<link::Link>(
       this->event_loop,
       link::Options{.address = {.ip = ip, .port = this->settings.peer_port},
-                    .key = FleetKeyOf(this->settings),
+                    .key = process::FleetKeyOf(this->settings.fleet_key),
                     .self = InstanceId(ip),
                     .on_packet = [this](const wire::Opened& opened) {
                       this->OnPacket(opened);
--- a/samphirebank/gateway/targets.cc
+++ b/samphirebank/gateway/targets.cc
@@ -5,11 +5,13 @@
 
 #include "samphirebank/events/events.h"
 #include "samphirebank/gateway/internal/server.h"
+#include "samphirebank/process/process.h"
 
 namespace samphirebank::gateway {
 namespace {
 
 using events::Number;
+using process::Now;
 using std::chrono::milliseconds;
 
 // Other gateways may not be counted yet: only this part of the fleet's
@@ -19,8 +21,6 @@
 // by callers in another window.
 constexpr double kRatioUsed = 0.9;
 
-TimePoint Now() { return std::chrono::steady_clock::now(); }
-
 }  // namespace
 
 size_t Server::ReadyCount(const ServiceId& service) const {
--- /dev/null
+++ b/samphirebank/process/process.cc
@@ -0,0 +1,79 @@
+#include "samphirebank/process/process.h"
+
+#include <sodium.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <memory>
+#include <stdexcept>
+#include <utility>
+
+#include "samphirebank/events/events.h"
+
+namespace samphirebank::process {
+namespace {
+
+using boost::system::error_code;
+
+void WatchReload(boost::asio::signal_set& reload) {
+  reload.async_wait([&reload](const error_code& stopped, int) {
+    if (stopped) return;
+    events::Log({.number = events::Number::kSettingsReloaded});
+    WatchReload(reload);
+  });
+}
+
+int Serve(const std::function<int(boost::asio::io_context&)>& serve) {
+  boost::asio::io_context loop(1);
+  boost::asio::signal_set reload(loop, SIGHUP);
+  WatchReload(reload);
+  const int code = serve(loop);
+  events::Log({.number = events::Number::kProcessStopped,
+               .reason = code == 0 ? "signal" : "failed"});
+  events::Close();
+  return code;
+}
+
+}  // namespace
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+BootId NewBoot() {
+  uint64_t number = 0;
+  while (number == 0) randombytes_buf(&number, sizeof(number));
+  return BootId(number);
+}
+
+wire::FleetKey FleetKeyOf(const settings::Secret& secret) {
+  const auto key = wire::ParseFleetKey(secret.value);
+  if (!key) throw std::runtime_error("the fleet key is not 64 hex digits");
+  return *key;
+}
+
+void OnStop(boost::asio::io_context& loop, std::function<void()> action) {
+  auto signals =
+      std::make_shared<boost::asio::signal_set>(loop, SIGTERM, SIGINT);
+  signals->async_wait(
+      [signals, action = std::move(action)](const error_code& stopped, int) {
+        if (!stopped) action();
+      });
+}
+
+int Run(const std::string& name,
+        const std::function<int(boost::asio::io_context&)>& serve) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);
+  try {
+    return Serve(serve);
+  } catch (const std::exception& error) {
+    events::Log(
+        {.number = events::Number::kInternalError, .detail = error.what()});
+    std::cerr << "samphirebank " << name << ": " << error.what() << '\n';
+    return 1;
+  }
+}
+
+}  // namespace samphirebank::process
--- /dev/null
+++ b/samphirebank/process/process.h
@@ -0,0 +1,49 @@
+// File: process.h
+//
+// What the processes on an Asio loop share: the clock, the run's identity, the
+// fleet key, signals, and the way out.
+//
+// Example:
+//
+//   return process::Run("gateway", [&](boost::asio::io_context& loop) {
+//     Server server(loop, settings);
+//     process::OnStop(loop, [&] { loop.stop(); });
+//     loop.run();
+//     return 0;
+//   });
+#ifndef SAMPHIREBANK_PROCESS_PROCESS_H_
+#define SAMPHIREBANK_PROCESS_PROCESS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string>
+
+#include "samphirebank/base/base.h"
+#include "samphirebank/settings/settings.h"
+#include "samphirebank/wire/wire.h"
+
+namespace samphirebank::process {
+
+// Now reads the monotonic clock.
+TimePoint Now();
+
+// NewBoot draws the identity of this run; never 0.
+BootId NewBoot();
+
+// FleetKeyOf reads a checked setting. Throws std::runtime_error if it is not
+// 64 hexadecimal digits.
+wire::FleetKey FleetKeyOf(const settings::Secret& secret);
+
+// OnStop runs `action` once, on SIGTERM or SIGINT. `loop` must be running or
+// run later.
+void OnStop(boost::asio::io_context& loop, std::function<void()> action);
+
+// Run gives `serve` a loop on which SIGHUP is logged (settings are read at the
+// start only), and returns its exit code; 1 if it throws. SIGPIPE and SIGXFSZ
+// are ignored, so that such writes fail like others. Logging ends with it.
+int Run(const std::string& name,
+        const std::function<int(boost::asio::io_context&)>& serve);
+
+}  // namespace samphirebank::process
+
+#endif  // SAMPHIREBANK_PROCESS_PROCESS_H_
