Count a request at its target from the choice on

Ruled out: stale news of others (its share was small). Change: NoteSent at the choice. Test first: 'prompts that come together go to different targets' got 2, 5 and 2 of 12 instead of 3 each.

--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -168,7 +168,10 @@
 void Exchange::OnLimit() {
   const bool sent = this->sending && this->sending->connection != nullptr;
   if (sent) this->progress.may_have_run = true;
-  if (this->sending) this->EndSending(dispatch::Ending::kFailed);
+  if (this->sending) {
+    this->EndSending(sent ? dispatch::Ending::kFailed
+                          : dispatch::Ending::kNeutral);
+  }
   if (this->progress.answer_begun) return this->Cut("time limit");
   if (!this->progress.may_have_run) return this->RefuseForNow("time limit");
   this->FailUnknown(504, "time limit");
--- a/samphirebank/gateway/loopback_test.cc
+++ b/samphirebank/gateway/loopback_test.cc
@@ -3,7 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "samphirebank/gateway/loopback_fixture.h"
 
@@ -205,6 +207,32 @@
   CHECK(target.arrivals.size() == 1);
 }
 
+TEST_CASE("prompts that come together go to different targets") {
+  constexpr size_t kTargets = 4;
+  constexpr size_t kPrompts = 12;
+  Loopback fleet;
+  std::vector<FakeTarget*> targets;
+  for (size_t i = 0; i < kTargets; ++i) {
+    targets.push_back(
+        &fleet.AddTarget("engine", [](const Arrival&) { /* no answer */ }));
+  }
+  std::vector<std::unique_ptr<FakeCaller>> callers;
+  for (size_t i = 0; i < kPrompts; ++i) {
+    callers.push_back(fleet.Call());
+    callers.back()->Send(Loopback::Request(
+        "/stream/", "Samphirebank-Token-Counts: 5000,10\r\n"));
+  }
+  const auto arrived = [&] {
+    size_t count = 0;
+    for (const FakeTarget* target : targets) count += target->arrivals.size();
+    return count;
+  };
+  fleet.Until([&] { return arrived() == kPrompts; });
+  for (const FakeTarget* target : targets) {
+    CHECK(target->arrivals.size() == kPrompts / kTargets);
+  }
+}
+
 TEST_CASE("a caller that leaves ends the work at the target") {
   Loopback fleet;
   FakeTarget& target =
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -54,6 +54,10 @@
                           .at_home = chosen->at_home,
                           .reading = chosen->reading};
   this->last_target = chosen->id;
+  // Counted from the choice on: others that come before the connection does
+  // are not to choose the same idle target.
+  dispatch::NoteSent(this->server.book(), chosen->id, this->work,
+                     chosen->reading, now);
   const bool once = this->progress.repetition == routes::Repetition::kNever;
   auto kept = this->server.pool().Take(chosen->address,
                                        once ? kMostIdleOnce : kMostIdle, now);
@@ -77,14 +81,14 @@
     return;
   }
   if (end == web::ConnectEnd::kExhausted) {
-    this->sending.reset();
+    this->EndSending(Ending::kNeutral);
     this->progress.connects = forwarding::kMaxConnects;
     return this->Continue(SendEnd::kNotSent);
   }
   if (connection == nullptr) {
     this->server.NoteUnreachable(this->sending->target, this->sending->address);
     this->work.tried.insert(this->sending->target);
-    this->sending.reset();
+    this->EndSending(Ending::kNeutral);
     ++this->progress.connects;
     return this->Continue(SendEnd::kNotSent);
   }
@@ -96,8 +100,6 @@
   this->sending->sent_at = now;
   ++this->progress.sends;
   this->work.tried.insert(this->sending->target);
-  dispatch::NoteSent(this->server.book(), this->sending->target, this->work,
-                     this->sending->reading, now);
   events::Event event = this->EventOf(Number::kRequestDispatched);
   event.address = this->sending->address.ToText();
   event.revision = Revision(this->index->table.version.value);
@@ -287,8 +289,6 @@
   Sending current = std::move(*this->sending);
   this->sending.reset();
   if (current.connection != nullptr) current.connection->Close();
-  const bool was_sent = current.reader != nullptr;
-  if (!was_sent) return;
   if (!current.read_noted) {
     dispatch::NoteRead(this->server.book(), current.target, current.reading);
   }
