--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -94,6 +94,9 @@
 
   // ReadyCount is how many targets of a service take new work.
   size_t ReadyCount(const ServiceId& service) const;
+  // HasOtherTarget says whether there is one that was not tried.
+  bool HasOtherTarget(const ServiceId& service,
+                      const std::set<TargetId>& tried) const;
   std::optional<ChosenTarget> ChooseTarget(const ServiceId& service,
                                            const dispatch::Work& work,
                                            TimePoint now);
--- a/samphirebank/gateway/loopback_test.cc
+++ b/samphirebank/gateway/loopback_test.cc
@@ -97,6 +97,15 @@
   CHECK(second.arrivals.size() == 1);
 }
 
+TEST_CASE("a failure is passed on when there is no other target") {
+  Loopback fleet;
+  FakeTarget& only = fleet.AddTarget("plain", Replies(500, "failed"));
+  const Received answer = OneAnswer(fleet, "/again/");
+  CHECK(answer.status == 500);
+  CHECK(answer.body == "failed");
+  CHECK(only.arrivals.size() == 1);
+}
+
 TEST_CASE("a non-idempotent request whose connection breaks runs once") {
   Loopback fleet;
   const auto script = [](const Arrival& arrival) {
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -297,8 +297,10 @@
 
 void Exchange::Continue(SendEnd end) {
   const TimePoint now = Now();
-  const Next next = forwarding::Decide(
-      this->progress, end, this->server.MayRepeat(this->service, now));
+  const bool may_repeat =
+      this->server.MayRepeat(this->service, now) &&
+      this->server.HasOtherTarget(this->service, this->work.tried);
+  const Next next = forwarding::Decide(this->progress, end, may_repeat);
   const bool ran = end == SendEnd::kBroken || end == SendEnd::kAnswered;
   if (next == Next::kPassOn) return this->PassOn();
   if (end == SendEnd::kAnswered && this->sending) {
--- a/samphirebank/gateway/targets.cc
+++ b/samphirebank/gateway/targets.cc
@@ -27,6 +27,13 @@
   return directory::ReadyTargets(this->directory, service).size();
 }
 
+bool Server::HasOtherTarget(const ServiceId& service,
+                            const std::set<TargetId>& tried) const {
+  const auto ready = directory::ReadyTargets(this->directory, service);
+  return std::ranges::any_of(
+      ready, [&](const auto* target) { return !tried.contains(target->id); });
+}
+
 std::optional<ChosenTarget> Server::ChooseTarget(const ServiceId& service,
                                                  const dispatch::Work& work,
                                                  TimePoint now) {
