Wait for a killed target's end before the next call in the aimed fault tests

The test sent SIGKILL to the hanging target and went on at once, so a call could still reach the target while it lived; it then may have run, and the router rightly says so for that key ever after (409, outcome unknown). Ruled out: load alone. Change: the test waits for the end of each process that it kills, and a key that is not answered prints its last reply. No bound or check is changed.

--- a/samphirebank/outcomes_test/aimed_faults_process_test.cc
+++ b/samphirebank/outcomes_test/aimed_faults_process_test.cc
@@ -86,6 +86,25 @@
   }));
 }
 
+// Kill returns when the process takes no more connections.
+void Kill(const ProcessPointer& process) {
+  process->Signal(SIGKILL);
+  process->Wait();
+}
+
+// PayUntilAnswered sends a key until it is answered; the last reply tells why
+// it was not.
+void PayUntilAnswered(const Fleet& fleet, size_t router,
+                      const std::string& key) {
+  Reply reply;
+  const bool answered = WaitUntil([&] {
+    reply = fleet.Pay(router, key, kBody);
+    return reply.status == 200;
+  });
+  INFO(reply.head, reply.body);
+  CHECK(answered);
+}
+
 TEST_CASE("a router killed between claim and send: never run elsewhere") {
   Fleet fleet({.controls = 3, .routers = 2});
   const DeafPort deaf;
@@ -93,11 +112,10 @@
   const int connection = BeginUntil(fleet, 0, "first", [&] {
     return fleet.Events("r1", {"request-dispatched", "\"deaf\""}) > 0;
   });
-  fleet.entries[0].process->Signal(SIGKILL);
-  fleet.entries[0].process->Wait();
+  Kill(fleet.entries[0].process);
   CHECK(testing::End(connection).status == 0);
   const ProcessPointer target = fleet.StartTarget("healthy", {});
-  CHECK(WaitUntil([&] { return fleet.Pay(1, "other", kBody).status == 200; }));
+  PayUntilAnswered(fleet, 1, "other");
   ResendUntilUnknown(fleet, 1, "first");
   CHECK(fleet.Runs("first") == 0);
   CHECK(fleet.Runs("other") == 1);
@@ -108,12 +126,11 @@
   const ProcessPointer holding = fleet.StartTarget("holding", {"--fault=hang"});
   const int connection =
       BeginUntil(fleet, 0, "first", [&] { return fleet.Runs("first") > 0; });
-  fleet.entries[0].process->Signal(SIGKILL);
-  fleet.entries[0].process->Wait();
+  Kill(fleet.entries[0].process);
   CHECK(testing::End(connection).status == 0);
-  holding->Signal(SIGKILL);
+  Kill(holding);
   const ProcessPointer target = fleet.StartTarget("healthy", {});
-  CHECK(WaitUntil([&] { return fleet.Pay(1, "other", kBody).status == 200; }));
+  PayUntilAnswered(fleet, 1, "other");
   ResendUntilUnknown(fleet, 1, "first");
   CHECK(fleet.Runs("first") == 1);
   CHECK(fleet.Runs("other") == 1);
@@ -127,17 +144,16 @@
     first = fleet.Pay(0, "answered", kBody);
     return first.status == 200;
   }));
-  healthy->Signal(SIGKILL);
-  healthy->Wait();
+  Kill(healthy);
   const ProcessPointer holding = fleet.StartTarget("holding", {"--fault=hang"});
   const int connection =
       BeginUntil(fleet, 1, "held", [&] { return fleet.Runs("held") > 0; });
   fleet.KillAll();
   close(connection);
-  holding->Signal(SIGKILL);
+  Kill(holding);
   fleet.StartAll();
   const ProcessPointer again = fleet.StartTarget("again", {});
-  CHECK(WaitUntil([&] { return fleet.Pay(1, "other", kBody).status == 200; }));
+  PayUntilAnswered(fleet, 1, "other");
   for (size_t router = 0; router < 2; ++router) {
     Reply reply;
     CHECK(WaitUntil([&] {
