--- /dev/null
+++ b/samphirebank/soak/internal/caller.h
@@ -0,0 +1,74 @@
+// File: caller.h
+//
+// Stand-in callers behind a stand-in balancer.
+#ifndef SAMPHIREBANK_SOAK_INTERNAL_CALLER_H_
+#define SAMPHIREBANK_SOAK_INTERNAL_CALLER_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "samphirebank/soak/internal/fleet.h"
+#include "samphirebank/soak/internal/world.h"
+
+namespace samphirebank::soak {
+
+// Balancer asks each gateway for its readiness and gives new connections to
+// those that are ready; to all, if fewer than half are.
+class Balancer {
+ public:
+  Balancer(World& shared, Fleet& under_test);
+
+  size_t Choose();
+
+ private:
+  void AskAll();
+
+  World& world;
+  Fleet& fleet;
+  std::vector<int> misses;  // in a row
+};
+
+// Caller sends one request after the other, on a connection that it keeps
+// until the gateway ends it.
+class Caller {
+ public:
+  Caller(World& shared, Fleet& under_test, Balancer& entry, size_t number);
+
+ private:
+  void Next();
+  void Open();
+  void Send();
+  void Read();
+  void OnEnd();
+  void OnLimit(bool leaves);
+  void Finish(CallerEnd end);
+  void Drop();
+  SentRequest MakeRequest();
+
+  World& world;
+  Fleet& fleet;
+  Balancer& balancer;
+  size_t index = 0;
+  uint64_t sent = 0;
+  size_t gateway = 0;
+  std::shared_ptr<web::Connection> connection;
+  std::unique_ptr<web::AnswerReader> reader;
+  std::optional<RequestId> waiting_for;
+  CallerAnswer answer;
+  bool head_taken = false;
+  bool told_close = false;
+  boost::asio::steady_timer limit;
+};
+
+// The routes that callers use; a table has them all in every version.
+std::vector<routes::Route> CallerRoutes();
+std::vector<routes::Organisation> CallerOrganisations();
+inline constexpr char kHost[] = "shop.example";
+
+}  // namespace samphirebank::soak
+
+#endif  // SAMPHIREBANK_SOAK_INTERNAL_CALLER_H_
--- /dev/null
+++ b/samphirebank/soak/internal/judge.h
@@ -0,0 +1,32 @@
+// File: judge.h
+//
+// The parts of Judge; see ledger.h.
+#ifndef SAMPHIREBANK_SOAK_INTERNAL_JUDGE_H_
+#define SAMPHIREBANK_SOAK_INTERNAL_JUDGE_H_
+
+#include <string>
+#include <vector>
+
+#include "samphirebank/soak/internal/ledger.h"
+
+namespace samphirebank::soak {
+
+// Verdicts collects what was broken.
+struct Verdicts {
+  std::vector<std::string> all{};
+
+  void Add(std::string text) { this->all.push_back(std::move(text)); }
+};
+
+void JudgeRequests(const Ledger& ledger, const Bounds& bounds,
+                   Verdicts& verdicts);
+void JudgeRecovery(const Ledger& ledger, const Bounds& bounds,
+                   Verdicts& verdicts);
+void JudgeRepeats(const Ledger& ledger, const Bounds& bounds,
+                  Verdicts& verdicts);
+void JudgeTables(const Ledger& ledger, const Bounds& bounds,
+                 Verdicts& verdicts);
+
+}  // namespace samphirebank::soak
+
+#endif  // SAMPHIREBANK_SOAK_INTERNAL_JUDGE_H_
--- /dev/null
+++ b/samphirebank/soak/internal/target.h
@@ -0,0 +1,74 @@
+// File: target.h
+//
+// A stand-in target: it announces itself to the coordinators, runs requests,
+// notes each run, and misbehaves when it is told to.
+#ifndef SAMPHIREBANK_SOAK_INTERNAL_TARGET_H_
+#define SAMPHIREBANK_SOAK_INTERNAL_TARGET_H_
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "samphirebank/directory/directory.h"
+#include "samphirebank/soak/internal/world.h"
+#include "samphirebank/testing/relay.h"
+
+namespace samphirebank::soak {
+
+// Manner says what a target does with requests.
+enum class Manner : uint8_t {
+  kServes,
+  kMute,     // runs and never answers
+  kBreaks,   // runs, and breaks its answers off
+  kRefuses,  // states that it runs nothing
+};
+
+// Target is one stand-in. Its runs reach it through a relay.
+class Target {
+ public:
+  Target(World& shared, std::string given_name, ServiceId given_service,
+         std::vector<net::SocketAddress> control);
+
+  Manner manner = Manner::kServes;
+  testing::Relay& relay() { return *this->link; }
+
+  // Crash ends the run without a word; Restart begins the next one, which has
+  // a new id unless `same_id`.
+  void Crash();
+  void Restart(bool same_id);
+  // Drain leaves as planned; it ends some time after the acknowledgement.
+  void Drain();
+
+ private:
+  struct Running;
+
+  void Listen();
+  void Serve(const std::shared_ptr<web::Connection>& connection);
+  void Read(const std::shared_ptr<Running>& running);
+  void Begin(const std::shared_ptr<Running>& running, web::Request request);
+  void Answer(const std::shared_ptr<Running>& running);
+  void StreamEvent(const std::shared_ptr<Running>& running, uint64_t number);
+  void Beat();
+  void OnBeatAnswered(uint64_t incarnation, bool acknowledged);
+
+  World& world;
+  std::string name;
+  ServiceId service;
+  bool is_engine = false;
+  std::vector<net::SocketAddress> coordinators;
+  size_t beats_at = 0;  // the coordinator that hears the next heartbeat
+  uint16_t port = 0;
+  directory::Announcement announcement;
+  uint64_t incarnation = 0;
+  bool is_up = false;
+  bool is_draining = false;
+  std::unique_ptr<web::Listener> listener;
+  std::set<std::shared_ptr<web::Connection>> connections;
+  std::unique_ptr<testing::Relay> link;
+};
+
+}  // namespace samphirebank::soak
+
+#endif  // SAMPHIREBANK_SOAK_INTERNAL_TARGET_H_
--- a/samphirebank/testing/processes.cc
+++ b/samphirebank/testing/processes.cc
@@ -135,8 +135,13 @@
                  std::vector<std::string> environment) {
   const std::vector<char*> arguments = Pointers(words);
   const std::vector<char*> variables = Pointers(environment);
-  const int failed = posix_spawn(&this->id, words.front().c_str(), nullptr,
+  // The program gets none of the test's sockets, which it would keep open.
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
+  const int failed = posix_spawn(&this->id, words.front().c_str(), &files,
                                  nullptr, arguments.data(), variables.data());
+  posix_spawn_file_actions_destroy(&files);
   if (failed != 0) throw std::runtime_error("cannot start " + words.front());
 }
 
@@ -158,6 +163,14 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+bool Process::Ended() {
+  if (this->id == 0) return true;
+  int status = 0;
+  if (waitpid(this->id, &status, WNOHANG) != this->id) return false;
+  this->id = 0;
+  return true;
+}
+
 int Process::descriptors() const {
   const std::filesystem::directory_iterator files(
       "/proc/" + std::to_string(this->id) + "/fd");
--- a/samphirebank/testing/processes.h
+++ b/samphirebank/testing/processes.h
@@ -50,6 +50,8 @@
   void Signal(int signal) const;
   // Wait returns the exit code, or -1 if a signal ended the program.
   int Wait();
+  // Ended says whether the program has ended, without waiting.
+  bool Ended();
   pid_t pid() const { return this->id; }
   // descriptors counts the program's open files and sockets.
   int descriptors() const;
--- a/samphirebank/testing/relay.cc
+++ b/samphirebank/testing/relay.cc
@@ -38,27 +38,36 @@
   return listener;
 }
 
+using Clock = std::chrono::steady_clock;
+
 // Flow is one direction of a relayed connection.
 struct Flow {
   int from = -1;
   int to = -1;
-  std::string rest;  // not taken yet by `to`
+  std::string rest = {};       // not taken yet by `to`
+  Clock::time_point due = {};  // when the rest may be passed on
 };
 
+// kNobody is what poll passes over.
+constexpr int kNobody = -1;
+
 pollfd Awaited(const Flow& flow) {
   if (flow.rest.empty()) return {flow.from, POLLIN, 0};
+  if (Clock::now() < flow.due) return {kNobody, 0, 0};
   return {flow.to, POLLOUT, 0};
 }
 
 // Pass moves what it can; false when a side is gone.
-bool Pass(Flow& flow) {
+bool Pass(Flow& flow, std::chrono::milliseconds delay) {
   if (flow.rest.empty()) {
     char piece[kPieceBytes];
     const ssize_t count = recv(flow.from, piece, sizeof(piece), MSG_DONTWAIT);
     if (count < 0) return errno == EAGAIN;
     if (count == 0) return false;
     flow.rest.assign(piece, static_cast<size_t>(count));
+    flow.due = Clock::now() + delay;
   }
+  if (Clock::now() < flow.due) return true;
   const ssize_t count = send(flow.to, flow.rest.data(), flow.rest.size(),
                              MSG_NOSIGNAL | MSG_DONTWAIT);
   if (count < 0) return errno == EAGAIN;
@@ -71,15 +80,30 @@
   Flow request;
   Flow answer;
   bool silent = false;
+  bool answers_cut = false;
   bool closed = false;
 };
 
+// PassBoth moves what it can; false when a side is gone.
+bool PassBoth(Pair& pair, std::chrono::milliseconds delay) {
+  if (!Pass(pair.request, delay)) return false;
+  return pair.answers_cut || Pass(pair.answer, delay);
+}
+
 void Close(Pair& pair) {
   close(pair.request.from);
   close(pair.request.to);
   pair.closed = true;
 }
 
+// Break closes both ends so that they see a reset.
+void Break(Pair& pair) {
+  const linger now{.l_onoff = 1, .l_linger = 0};
+  setsockopt(pair.request.from, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+  setsockopt(pair.request.to, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+  Close(pair);
+}
+
 // EventPiece is a chunk of many whole events.
 std::string EventPiece() {
   const std::string event =
@@ -143,36 +167,52 @@
   close(this->listener);
 }
 
-void Relay::Silence() {
-  this->silence = true;
-  while (this->silence) std::this_thread::yield();
+void Relay::Silence() { this->Carry(Order::kSilence); }
+
+void Relay::CutAnswers() { this->Carry(Order::kCutAnswers); }
+
+void Relay::Reset() { this->Carry(Order::kReset); }
+
+void Relay::Delay(std::chrono::milliseconds span) {
+  this->delay_ms = span.count();
+}
+
+void Relay::Carry(Order given) {
+  this->order = given;
+  while (this->order != Order::kNone) std::this_thread::yield();
 }
 
 void Relay::Run() {
   std::vector<Pair> pairs;
   while (!this->stopping) {
-    if (this->silence) {
-      for (Pair& pair : pairs) pair.silent = true;
-      this->silence = false;
+    const Order given = this->order;
+    for (Pair& pair : pairs) {
+      if (pair.closed) continue;
+      if (given == Order::kSilence) pair.silent = true;
+      if (given == Order::kCutAnswers) pair.answers_cut = true;
+      if (given == Order::kReset) Break(pair);
     }
+    std::erase_if(pairs, [](const Pair& pair) { return pair.closed; });
+    this->order = Order::kNone;
+    const std::chrono::milliseconds delay(this->delay_ms);
     std::vector<pollfd> polled = {{this->listener, POLLIN, 0}};
     for (const Pair& pair : pairs) {
-      if (pair.silent || pair.closed) continue;
+      if (pair.silent) continue;
       polled.push_back(Awaited(pair.request));
-      polled.push_back(Awaited(pair.answer));
+      if (!pair.answers_cut) polled.push_back(Awaited(pair.answer));
     }
     poll(polled.data(), polled.size(), kTurnMs);
     for (Pair& pair : pairs) {
       if (pair.silent || pair.closed) continue;
-      if (!Pass(pair.request) || !Pass(pair.answer)) Close(pair);
+      if (!PassBoth(pair, delay)) Close(pair);
     }
     const int near = accept(this->listener, nullptr, nullptr);
     if (near < 0) continue;
     const int far = socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in address = Loopback(this->to);
     connect(far, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    pairs.push_back({.request = {.from = near, .to = far, .rest = {}},
-                     .answer = {.from = far, .to = near, .rest = {}}});
+    pairs.push_back({.request = {.from = near, .to = far},
+                     .answer = {.from = far, .to = near}});
     ++this->accept_count;
   }
   for (Pair& pair : pairs) {
--- a/samphirebank/testing/relay.h
+++ b/samphirebank/testing/relay.h
@@ -1,7 +1,8 @@
 // File: relay.h
 //
 // TCP programs between and behind the processes under test: a relay whose
-// connections can go silent for good, and a server that streams without end.
+// connections can be delayed, reset, cut one way or silenced for good, and a
+// server that streams without end.
 //
 // Example:
 //
@@ -11,6 +12,7 @@
 #define SAMPHIREBANK_TESTING_RELAY_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <thread>
 
@@ -28,6 +30,13 @@
   // Silence stops all bytes of the connections that are open now, in both
   // directions, without closing them. New connections pass.
   void Silence();
+  // CutAnswers stops the bytes of the connections that are open now towards
+  // those who connected, without closing them. The other direction passes.
+  void CutAnswers();
+  // Reset breaks all connections that are open now.
+  void Reset();
+  // Delay holds all bytes back for a time, on all connections.
+  void Delay(std::chrono::milliseconds span);
   // accepted counts the connections so far.
   int accepted() const { return this->accept_count; }
 
@@ -38,7 +47,11 @@
   uint16_t listen_port = 0;
   int listener = -1;
   std::atomic<int> accept_count = 0;
-  std::atomic<bool> silence = false;
+  enum class Order : uint8_t { kNone, kSilence, kCutAnswers, kReset };
+  // Carry waits until the relay's thread has carried an order out.
+  void Carry(Order given);
+  std::atomic<Order> order = Order::kNone;
+  std::atomic<int64_t> delay_ms = 0;
   std::atomic<bool> stopping = false;
   std::thread thread;
 };
