--- a/samphirebank/consensus/consensus.h
+++ b/samphirebank/consensus/consensus.h
@@ -418,6 +418,9 @@
   // A member stands for election after one to two election timeouts without
   // a leader; a leader steps down after one without a quorum.
   Duration election_timeout = std::chrono::milliseconds(1000);
+  // The same for the first time after its start: a live leader's heartbeat
+  // comes sooner.
+  Duration first_election_timeout = std::chrono::milliseconds(1000);
   Duration resend_timeout = std::chrono::milliseconds(400);
   Duration announce_interval = std::chrono::seconds(2);
   uint32_t max_inflight_appends = 16;      // per member
--- a/samphirebank/consensus/consensus_test.cc
+++ b/samphirebank/consensus/consensus_test.cc
@@ -187,6 +187,27 @@
   CHECK(holds(3).committed.size() == 3);
 }
 
+TEST_CASE("a member that has just started stands sooner than a later one") {
+  const Entry founding{.index = LogIndex(1),
+                       .term = Term(1),
+                       .kind = EntryKind::kMembership,
+                       .payload = wire::EncodeFields(
+                           Membership{.voters = {Name(0), Name(1), Name(2)}})};
+  State state =
+      Start({.self = Name(0),
+             .election_timeout = milliseconds(1000),
+             .first_election_timeout = milliseconds(400)},
+            {.hard_state = {.term = Term(1)}, .entries = {founding}}, {});
+  const auto stands_at = [&](int64_t ms) {
+    return !Step(state, Tick{}, TimePoint(milliseconds(ms))).messages.empty();
+  };
+  CHECK_FALSE(stands_at(399));
+  CHECK(stands_at(800));
+  // Without votes it tries again at the usual pace.
+  CHECK_FALSE(stands_at(1799));
+  CHECK(stands_at(2800));
+}
+
 TEST_CASE("a vote goes to the same folder, once a term, to a full log") {
   Group group(3, 3);
   const size_t leader = group.Leader();
--- a/samphirebank/consensus/election.cc
+++ b/samphirebank/consensus/election.cc
@@ -84,14 +84,17 @@
   return mixed ^ (mixed >> 31);
 }
 
-void ResetElectionDeadline(Context& context) {
+void SetElectionDeadline(Context& context, Duration timeout) {
   State& state = context.state;
-  const Duration timeout = state.options.election_timeout;
   const auto span = static_cast<uint64_t>(timeout.count());
   const auto extra = static_cast<int64_t>(NextRandom(state) % span);
   state.election_deadline = context.now + timeout + Duration(extra);
 }
 
+void ResetElectionDeadline(Context& context) {
+  SetElectionDeadline(context, context.state.options.election_timeout);
+}
+
 void BecomeFollower(Context& context, Term term,
                     std::optional<MemberId> leader) {
   State& state = context.state;
--- a/samphirebank/consensus/internal/core.h
+++ b/samphirebank/consensus/internal/core.h
@@ -66,6 +66,8 @@
 
 uint64_t NextRandom(State& state);
 void ResetElectionDeadline(Context& context);
+// SetElectionDeadline draws it between one and two timeouts from now.
+void SetElectionDeadline(Context& context, Duration timeout);
 // BecomeFollower enters `term`, or gives up what role it has in this term.
 void BecomeFollower(Context& context, Term term,
                     std::optional<MemberId> leader);
