Take route tables from the nearest coordinator alone

Change: a gateway's poll says whether it takes tables from this coordinator: the nearest that it hears, and any once a newer table was told of for 0.5 s and did not come. Each coordinator pushes to those that take from it. Test: follow_test "a table comes from the nearest coordinator alone", "a table that does not come in time is taken from any coordinator".

--- a/samphirebank/coordinator/internal/server.h
+++ b/samphirebank/coordinator/internal/server.h
@@ -66,6 +66,7 @@
     TimePoint table_sent_at{};
     routes::TableVersion table_sent{};
     bool is_gateway = true;
+    bool takes_table = true;  // newer ones come from this instance
   };
 
   replication::Options ReplicationOptions() const;
@@ -119,7 +120,7 @@
   BootId boot;
   DocumentState document;
   bool document_waits = false;  // to be read
-  routes::RouteTable table;  // of the newest document
+  routes::RouteTable table;     // of the newest document
   directory::Directory directory;
   follow::Follower others;  // coordinators, to find the group
   std::map<InstanceId, FollowerRecord> followers;
--- a/samphirebank/coordinator/peers.cc
+++ b/samphirebank/coordinator/peers.cc
@@ -70,6 +70,7 @@
   record.polled_at = now;
   record.table = poll.table;
   record.is_gateway = poll.is_gateway;
+  record.takes_table = poll.takes_table;
   record.cursor =
       poll.answerer == this->boot ? poll.cursor : directory::Cursor(0);
   this->SendUpdate(from, record);
@@ -95,7 +96,7 @@
 
 void Server::SendTable(const InstanceId& to, FollowerRecord& record,
                        TimePoint now) {
-  if (record.table >= this->table.version) return;
+  if (!record.takes_table || record.table >= this->table.version) return;
   const bool on_its_way = record.table_sent == this->table.version &&
                           now - record.table_sent_at < kTableResend;
   if (on_its_way) return;
@@ -132,8 +133,6 @@
 }
 
 void Server::PushTable() {
-  // One sender is enough; what is lost comes with the next poll.
-  if (this->replication == nullptr || !this->replication->leads()) return;
   const TimePoint now = Now();
   for (auto& [instance, record] : this->followers) {
     if (!record.is_gateway || now - record.polled_at >= kFollowing) continue;
--- a/samphirebank/coordinator/server.cc
+++ b/samphirebank/coordinator/server.cc
@@ -151,7 +151,8 @@
   for (const InstanceId& to : follow::TakeDuePolls(this->others, now)) {
     if (to == this->self) continue;
     // Only the members are asked for: the cursor skips all targets.
-    follow::Poll poll = follow::PollOf(this->others, to, this->table.version);
+    follow::Poll poll =
+        follow::PollOf(this->others, to, this->table.version, now);
     poll.is_gateway = false;
     this->peers->Send(this->PeerAddress(to), wire::Encode(poll));
   }
--- a/samphirebank/follow/follow.cc
+++ b/samphirebank/follow/follow.cc
@@ -18,6 +18,16 @@
   }
 }
 
+// TakesTableFrom says whether a coordinator is to send a table newer than the
+// follower's own: the nearest one, and any while that does not do it.
+bool TakesTableFrom(const Follower& follower, const InstanceId& from,
+                    routes::TableVersion own, TimePoint now) {
+  const auto nearest = NearestHeard(follower, now);
+  if (!nearest || *nearest == from) return true;
+  return follower.newest_table > own &&
+         now - follower.newest_table_at >= follower.options.table_patience;
+}
+
 void ForgetSilent(Follower& follower, TimePoint now) {
   std::erase_if(follower.sources, [&](const auto& item) {
     const Source& source = item.second;
@@ -52,8 +62,9 @@
 }
 
 Poll PollOf(const Follower& follower, const InstanceId& to,
-            routes::TableVersion table) {
-  Poll poll{.table = table};
+            routes::TableVersion table, TimePoint now) {
+  Poll poll{.table = table,
+            .takes_table = TakesTableFrom(follower, to, table, now)};
   const auto found = follower.sources.find(to);
   if (found == follower.sources.end()) return poll;
   poll.answerer = found->second.boot;
@@ -78,6 +89,10 @@
   }
   AddMembers(follower, update.members, now);
   follower.gateways = std::max<uint32_t>(update.gateways, 1);
+  if (update.table > follower.newest_table) {
+    follower.newest_table = update.table;
+    follower.newest_table_at = now;
+  }
   Heard heard{.poll_again = update.more};
   for (const directory::Announcement& announcement : update.announcements) {
     const directory::Verdict verdict =
@@ -94,13 +109,14 @@
 }
 
 std::optional<InstanceId> NearestHeard(const Follower& follower,
-                                       const ZoneId& zone,
-                                       const RegionId& region, TimePoint now) {
+                                       TimePoint now) {
+  const Options& options = follower.options;
   std::optional<InstanceId> nearest;
   int nearest_steps = 0;
   for (const auto& [id, source] : follower.sources) {
-    if (!HeardLately(source, follower.options, now)) continue;
-    const int steps = source.zone == zone ? 0 : source.region == region ? 1 : 2;
+    if (!HeardLately(source, options, now)) continue;
+    const bool same_region = source.region == options.region;
+    const int steps = source.zone == options.zone ? 0 : same_region ? 1 : 2;
     if (nearest && steps >= nearest_steps) continue;
     nearest = id;
     nearest_steps = steps;
--- a/samphirebank/follow/follow.h
+++ b/samphirebank/follow/follow.h
@@ -42,10 +42,11 @@
   directory::Cursor cursor{};    // in that run's directory
   routes::TableVersion table{};  // that the asker has
   bool is_gateway = true;
+  bool takes_table = true;  // a newer table is to be sent to the asker
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(answerer, cursor, table, is_gateway);
+    archive(answerer, cursor, table, is_gateway, takes_table);
   }
 };
 
@@ -88,6 +89,11 @@
 // Options of a follower.
 struct Options {
   std::vector<InstanceId> seeds{};
+  ZoneId zone{};  // of the instance that follows
+  RegionId region{};
+  // Tables come from the nearest coordinator. One that is told of and does not
+  // come within this time is taken from any.
+  Duration table_patience = std::chrono::milliseconds(500);
   Duration poll_interval = std::chrono::milliseconds(400);
   // One that was never heard, or not lately, is asked less often.
   Duration search_interval = std::chrono::milliseconds(1000);
@@ -113,6 +119,9 @@
   Options options{};
   std::map<InstanceId, Source> sources{};
   uint32_t gateways = 0;  // as the coordinators count them
+  // The newest table that a coordinator told of, and since when.
+  routes::TableVersion newest_table{};
+  TimePoint newest_table_at{};
 };
 
 // Start returns a follower that polls all seeds at once.
@@ -123,7 +132,7 @@
 
 // PollOf returns the poll for one coordinator.
 Poll PollOf(const Follower& follower, const InstanceId& to,
-            routes::TableVersion table);
+            routes::TableVersion table, TimePoint now);
 
 // Heard is what an update brought.
 struct Heard {
@@ -136,11 +145,10 @@
 Heard Merge(Follower& follower, const InstanceId& from, const Update& update,
             directory::Directory& directory, TimePoint now);
 
-// NearestHeard returns the coordinator heard lately that is nearest to a zone:
-// in it, else in its region, else any; nothing if none was heard.
-std::optional<InstanceId> NearestHeard(const Follower& follower,
-                                       const ZoneId& zone,
-                                       const RegionId& region, TimePoint now);
+// NearestHeard returns the coordinator heard lately that is nearest to the
+// follower: in its zone, else in its region, else any; nothing if none was
+// heard.
+std::optional<InstanceId> NearestHeard(const Follower& follower, TimePoint now);
 
 // SilentFor is how long no coordinator was heard.
 Duration SilentFor(const Follower& follower, TimePoint now);
--- a/samphirebank/follow/follow_test.cc
+++ b/samphirebank/follow/follow_test.cc
@@ -65,11 +65,11 @@
         directory, kStart);
   Merge(follower, kSeed, {.answerer = BootId(1), .cursor = Cursor(4)},
         directory, kStart);
-  CHECK(PollOf(follower, kSeed, {}).cursor == Cursor(9));
+  CHECK(PollOf(follower, kSeed, {}, kStart).cursor == Cursor(9));
   Merge(follower, kSeed, {.answerer = BootId(2), .cursor = Cursor(3)},
         directory, kStart);
-  CHECK(PollOf(follower, kSeed, {}).cursor == Cursor(3));
-  CHECK(PollOf(follower, kSeed, {}).answerer == BootId(2));
+  CHECK(PollOf(follower, kSeed, {}, kStart).cursor == Cursor(3));
+  CHECK(PollOf(follower, kSeed, {}, kStart).answerer == BootId(2));
 }
 
 TEST_CASE("a target that leaves at one coordinator leaves for all") {
@@ -88,22 +88,54 @@
   CHECK(directory::ReadyTargets(directory, ServiceId("a")).empty());
 }
 
+// Near is a follower in zone "a" of the region "south".
+Follower Near() {
+  return Start(
+      {.seeds = {kSeed}, .zone = ZoneId("a"), .region = RegionId("south")},
+      kStart);
+}
+
+const Update kFar{.zone = ZoneId("b"), .region = RegionId("north")};
+const Update kNear{.zone = ZoneId("c"), .region = RegionId("south")};
+
 TEST_CASE("the nearest coordinator is one that was heard lately") {
-  Follower follower = OneSeed();
+  Follower follower = Near();
   Directory directory;
-  const ZoneId zone("a");
-  const RegionId region("south");
-  CHECK_FALSE(NearestHeard(follower, zone, region, kStart));
-  Merge(follower, kSeed, {.zone = ZoneId("b"), .region = RegionId("north")},
-        directory, kStart);
-  CHECK(NearestHeard(follower, zone, region, kStart) == kSeed);
-  Merge(follower, kOther, {.zone = ZoneId("c"), .region = region}, directory,
-        kStart);
-  CHECK(NearestHeard(follower, zone, region, kStart) == kOther);
+  CHECK_FALSE(NearestHeard(follower, kStart));
+  Merge(follower, kSeed, kFar, directory, kStart);
+  CHECK(NearestHeard(follower, kStart) == kSeed);
+  Merge(follower, kOther, kNear, directory, kStart);
+  CHECK(NearestHeard(follower, kStart) == kOther);
   const TimePoint later = kStart + follower.options.silence;
-  Merge(follower, kSeed, {.zone = ZoneId("b"), .region = RegionId("north")},
-        directory, later);
-  CHECK(NearestHeard(follower, zone, region, later) == kSeed);
+  Merge(follower, kSeed, kFar, directory, later);
+  CHECK(NearestHeard(follower, later) == kSeed);
+}
+
+TEST_CASE("a table comes from the nearest coordinator alone") {
+  Follower follower = Near();
+  Directory directory;
+  // While none is heard, any may send one.
+  CHECK(PollOf(follower, kSeed, {}, kStart).takes_table);
+  CHECK(PollOf(follower, kOther, {}, kStart).takes_table);
+  Merge(follower, kSeed, kFar, directory, kStart);
+  Merge(follower, kOther, kNear, directory, kStart);
+  CHECK_FALSE(PollOf(follower, kSeed, {}, kStart).takes_table);
+  CHECK(PollOf(follower, kOther, {}, kStart).takes_table);
+}
+
+TEST_CASE("a table that does not come in time is taken from any coordinator") {
+  Follower follower = Near();
+  Directory directory;
+  Merge(follower, kOther, kNear, directory, kStart);
+  Update newer = kFar;
+  newer.table = routes::TableVersion(5);
+  Merge(follower, kSeed, newer, directory, kStart);
+  const TimePoint due = kStart + follower.options.table_patience;
+  const routes::TableVersion old(4);
+  const auto before = due - milliseconds(1);
+  CHECK_FALSE(PollOf(follower, kSeed, old, before).takes_table);
+  CHECK(PollOf(follower, kSeed, old, due).takes_table);
+  CHECK_FALSE(PollOf(follower, kSeed, newer.table, due).takes_table);
 }
 
 TEST_CASE("silence is that of the coordinator heard last") {
--- a/samphirebank/gateway/fleet_view.cc
+++ b/samphirebank/gateway/fleet_view.cc
@@ -38,9 +38,7 @@
     return fleetload::Rate(item.second.asked, now) < kLeastRate;
   });
   this->RefreshLevel(now);
-  const auto to =
-      follow::NearestHeard(this->follower, this->settings.identity.zone,
-                           this->settings.identity.region, now);
+  const auto to = follow::NearestHeard(this->follower, now);
   if (!to) return;
   fleetload::LoadReport report;
   for (const auto& [target, record] : this->targets_book.records) {
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -32,7 +32,8 @@
 constexpr Duration kShutdownMargin = milliseconds(300);
 
 follow::Options FollowOptions(const settings::GatewaySettings& settings) {
-  follow::Options options;
+  follow::Options options{.zone = settings.identity.zone,
+                          .region = settings.identity.region};
   for (const net::SocketAddress& seed : settings.seeds) {
     options.seeds.emplace_back(seed.ip);
   }
@@ -174,8 +175,8 @@
                                            ? routes::TableVersion()
                                            : this->table->table.version;
   for (const InstanceId& to : follow::TakeDuePolls(this->follower, now)) {
-    this->peers->Send(this->PeerAddress(to), wire::Encode(follow::PollOf(
-                                                 this->follower, to, version)));
+    const follow::Poll poll = follow::PollOf(this->follower, to, version, now);
+    this->peers->Send(this->PeerAddress(to), wire::Encode(poll));
   }
 }
 
