Take the grace period and the repeat budget from the platform's settings

Cause: the deploy file passed on the repeat allowance alone. A deployment with another ratio, window or grace period than today's two would have been held to 0.2, 10 s and 8 s, and so broken its budget or its shutdowns. Test: settings_test "a gateway reads decimal bounds, and passes over empty variables" (the flags did not exist before).

--- a/samphirebank/gateway/fleet_view.cc
+++ b/samphirebank/gateway/fleet_view.cc
@@ -132,10 +132,7 @@
 
 Share Server::ShareOf(const OrganisationId& organisation, TimePoint now) const {
   Share share{.levels = this->levels};
-  const bool told =
-      this->others_told_at && now - *this->others_told_at < fleetload::kFresh;
-  const double alike =
-      told ? 1.0 : std::max<uint32_t>(this->follower.gateways, 1);
+  const double alike = this->GatewaysAlike(now);
   const auto own = this->usage.find(organisation);
   if (own != this->usage.end()) {
     share.used = alike * fleetload::Rate(own->second.admitted, now);
--- a/samphirebank/gateway/targets.cc
+++ b/samphirebank/gateway/targets.cc
@@ -121,7 +121,7 @@
   const double gateways = std::max<uint32_t>(this->follower.gateways, 1);
   return {
       .window = this->settings.repeat_window,
-      .ratio = kRatioUsed * this->settings.repeat_percent / 100.0,
+      .ratio = kRatioUsed * this->settings.repeat_ratio,
       .allowance = kAllowanceUsed * this->settings.repeat_allowance / gateways};
 }
 
--- a/samphirebank/settings/flag_kinds.cc
+++ b/samphirebank/settings/flag_kinds.cc
@@ -59,6 +59,26 @@
   return number;
 }
 
+std::optional<double> ParseDecimal(const std::string& text, Range range) {
+  double number = 0.0;
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || rest != end) return std::nullopt;
+  if (!(number >= range.low && number <= range.high)) return std::nullopt;
+  return number;
+}
+
+// DecimalText writes a number without needless digits.
+std::string DecimalText(double number) {
+  char text[32];
+  const auto written = std::to_chars(text, text + sizeof(text), number);
+  return {text, written.ptr};
+}
+
+std::string RangeText(Range range) {
+  return "from " + DecimalText(range.low) + " to " + DecimalText(range.high);
+}
+
 std::optional<net::SocketAddress> ParseAddress(std::string_view text) {
   std::optional<net::SocketAddress> address = net::ParseSocketAddress(text);
   if (!address || address->port == 0) return std::nullopt;
@@ -157,6 +177,36 @@
               }};
 }
 
+Flag SecondsFlag(std::string name, std::string help, Range range,
+                 Duration* into) {
+  using Seconds = std::chrono::duration<double>;
+  return Flag{.name = std::move(name),
+              .argument = "S",
+              .help = std::move(help),
+              .allowed = "seconds " + RangeText(range),
+              .default_value = DecimalText(Seconds(*into).count()),
+              .take = [into, range](const std::string& value) {
+                const std::optional<double> number = ParseDecimal(value, range);
+                if (!number) return false;
+                *into = std::chrono::duration_cast<Duration>(Seconds(*number));
+                return true;
+              }};
+}
+
+Flag DecimalFlag(std::string name, std::string help, Range range,
+                 double* into) {
+  return Flag{.name = std::move(name),
+              .argument = "X",
+              .help = std::move(help),
+              .allowed = "a number " + RangeText(range),
+              .default_value = DecimalText(*into),
+              .take = [into, range](const std::string& value) {
+                const std::optional<double> number = ParseDecimal(value, range);
+                if (number) *into = *number;
+                return number.has_value();
+              }};
+}
+
 Flag SecretFlag(std::string name, std::string help, std::string allowed,
                 std::function<bool(std::string_view)> valid, Secret* into) {
   return Flag{
--- a/samphirebank/settings/flags.cc
+++ b/samphirebank/settings/flags.cc
@@ -90,7 +90,9 @@
                                   const Environment& environment) {
   const std::string name = VariableName(flag.name);
   const auto found = environment.variables.find(name);
-  if (found == environment.variables.end()) return {};
+  const bool given =
+      found != environment.variables.end() && !found->second.empty();
+  if (!given) return {};
   if (!flag.repeated) return {{.place = name, .value = found->second}};
   std::vector<Given> values;
   std::istringstream parts(found->second);
--- a/samphirebank/settings/gateway.cc
+++ b/samphirebank/settings/gateway.cc
@@ -47,19 +47,18 @@
                   return TakeZone(value, &into->zones);
                 }},
        FleetKeyFlag(&into->fleet_key),
-       MillisecondsFlag("grace-ms",
-                        "how long a shutdown may take before the process is "
-                        "killed",
-                        {.low = 1000, .high = 3'600'000}, &into->grace),
-       MillisecondsFlag("repeat-window-ms",
-                        "the window in which repeated sends are counted",
-                        {.low = 1000, .high = 600'000}, &into->repeat_window),
-       NumberFlag("repeat-percent",
-                  "repeated sends allowed, in percent of a service's requests",
-                  {.high = 100}, &into->repeat_percent),
-       NumberFlag("repeat-allowance",
-                  "repeated sends allowed besides, of the whole fleet",
-                  {.high = 1'000'000}, &into->repeat_allowance),
+       SecondsFlag("grace-s",
+                   "how long a shutdown may take before the process is killed",
+                   {.low = 1, .high = 3600}, &into->grace),
+       SecondsFlag("repeat-window-s",
+                   "the window in which repeated sends are counted",
+                   {.low = 1, .high = 600}, &into->repeat_window),
+       DecimalFlag("repeat-ratio",
+                   "repeated sends allowed for each request of a service",
+                   {.low = 0, .high = 1}, &into->repeat_ratio),
+       DecimalFlag("repeat-allowance",
+                   "repeated sends allowed besides, of the whole fleet",
+                   {.low = 0, .high = 1'000'000}, &into->repeat_allowance),
        LogFileFlag(&into->log_file)});
   return table;
 }
--- a/samphirebank/settings/internal/flags.h
+++ b/samphirebank/settings/internal/flags.h
@@ -101,6 +101,14 @@
                    std::vector<net::SocketAddress>* into);
 Flag MillisecondsFlag(std::string name, std::string help, Bounds bounds,
                       Duration* into);
+// Range bounds a decimal number.
+struct Range {
+  double low = 0.0;
+  double high = 0.0;
+};
+Flag SecondsFlag(std::string name, std::string help, Range range,
+                 Duration* into);
+Flag DecimalFlag(std::string name, std::string help, Range range, double* into);
 Flag SecretFlag(std::string name, std::string help, std::string allowed,
                 std::function<bool(std::string_view)> valid, Secret* into);
 
--- a/samphirebank/settings/settings.h
+++ b/samphirebank/settings/settings.h
@@ -134,11 +134,11 @@
   std::vector<ZoneInRegion> zones = {};
   Secret fleet_key = {};
   Duration grace = std::chrono::milliseconds(8000);  // a shutdown's length
-  // In any window, at most so many percent of a service's requests, and an
+  // In any window, at most so many for each request of a service, and an
   // allowance of the whole fleet, arrive at targets again.
   Duration repeat_window = std::chrono::milliseconds(10'000);
-  uint32_t repeat_percent = 20;
-  uint32_t repeat_allowance = 0;
+  double repeat_ratio = 0.2;
+  double repeat_allowance = 0.0;
   std::string log_file = {};
 };
 
--- a/samphirebank/settings/settings_test.cc
+++ b/samphirebank/settings/settings_test.cc
@@ -151,6 +151,27 @@
               "--zone-region"));
 }
 
+TEST_CASE("a gateway reads decimal bounds, and passes over empty variables") {
+  Environment environment = Secrets();
+  environment.variables["SAMPHIREBANK_SEED"] = "10.0.0.1:1";
+  environment.variables["SAMPHIREBANK_GRACE_S"] = "7.5";
+  environment.variables["SAMPHIREBANK_REPEAT_RATIO"] = "0.125";
+  environment.variables["SAMPHIREBANK_REPEAT_WINDOW_S"] = "";
+  environment.variables["SAMPHIREBANK_REPEAT_ALLOWANCE"] = "58.0";
+  const auto parsed = ParseGateway(GatewayArguments(), environment);
+  INFO(parsed.findings.ToText());
+  REQUIRE(parsed.findings.empty());
+  CHECK(parsed.settings.grace == std::chrono::milliseconds(7500));
+  CHECK(parsed.settings.repeat_ratio == 0.125);
+  CHECK(parsed.settings.repeat_window == GatewaySettings().repeat_window);
+  CHECK(parsed.settings.repeat_allowance == 58.0);
+  for (const std::string wrong : {"1.5", "-0.1", "nan", "0.2x"}) {
+    environment.variables["SAMPHIREBANK_REPEAT_RATIO"] = wrong;
+    CHECK(Names(ParseGateway(GatewayArguments(), environment).findings,
+                "SAMPHIREBANK_REPEAT_RATIO"));
+  }
+}
+
 TEST_CASE("a coordinator must be told whether the fleet is new") {
   const Arguments arguments = {"--instance",
                                "c1",
--- a/samphirebank/soak/internal/target.h
+++ b/samphirebank/soak/internal/target.h
@@ -51,7 +51,8 @@
   void Answer(const std::shared_ptr<Running>& running);
   void StreamEvent(const std::shared_ptr<Running>& running, uint64_t number);
   void Beat();
-  void OnBeatAnswered(uint64_t incarnation, bool acknowledged);
+  // OnLeavingHeard: a coordinator has acknowledged that this run leaves.
+  void OnLeavingHeard(uint64_t run);
 
   World& world;
   std::string name;
--- a/samphirebank/soak/target.cc
+++ b/samphirebank/soak/target.cc
@@ -93,24 +93,23 @@
 void Target::Beat() {
   if (!this->is_up) return;
   ++this->announcement.sequence;
-  const bool leaves = this->is_draining;
-  const TargetId id = this->announcement.id;
   const auto& to =
       this->coordinators[this->beats_at % this->coordinators.size()];
   Ask(this->world, to, this->world.speech.heartbeat(this->announcement),
       kBeatLimit,
-      [this, leaves, id, run = this->incarnation](const CallResult& result) {
+      [this, run = this->incarnation,
+       leaves = this->is_draining](const CallResult& result) {
         const bool acknowledged = result.status == 200;
         if (!acknowledged) ++this->beats_at;
-        if (acknowledged && leaves) this->OnBeatAnswered(run, true);
+        if (acknowledged && leaves) this->OnLeavingHeard(run);
       });
   After(this->world, kBeatInterval, [this, run = this->incarnation] {
     if (run == this->incarnation) this->Beat();
   });
 }
 
-void Target::OnBeatAnswered(uint64_t run, bool acknowledged) {
-  if (!acknowledged || run != this->incarnation) return;
+void Target::OnLeavingHeard(uint64_t run) {
+  if (run != this->incarnation) return;
   const TargetId id = this->announcement.id;
   const bool first = this->world.ledger.leaving_since.emplace(id, Now()).second;
   if (!first) return;
