--- a/samphirebank/soak/plan_test.cc
+++ b/samphirebank/soak/plan_test.cc
@@ -10,8 +10,9 @@
 TEST_CASE("a seed always gives the same plan, another seed another one") {
   const auto text = [](uint64_t seed) {
     std::string all;
-    for (const Fault& fault : MakePlan({}, seed))
+    for (const Fault& fault : MakePlan({}, seed)) {
       all += FaultText(fault) + "\n";
+    }
     return all;
   };
   CHECK(text(3) == text(3));
--- a/samphirebank/soak/world.cc
+++ b/samphirebank/soak/world.cc
@@ -55,7 +55,7 @@
 }
 
 void AskNext(World& world, const std::shared_ptr<ControlQuestion>& question,
-             std::optional<net::SocketAddress> redirected) {
+             const std::optional<net::SocketAddress>& redirected) {
   const size_t index = question->first % question->coordinators.size();
   const net::SocketAddress to =
       redirected.value_or(question->coordinators[index]);
