Elect one of several members that ask for votes at the same time

Cause: after the loss of all processes nothing is served until a coordinator leads.

Change: a member that has just asked for a pre-vote grants none to one of lesser name with an equal log, and gives way to one of greater name. It insists for a quarter of its timeout only, as the greater one may not reach a majority. While no leader is known the timeout stays the short one, and doubles from the second lost election on, for slow disks. The granting of votes itself is as before.

--- a/samphirebank/consensus/consensus.h
+++ b/samphirebank/consensus/consensus.h
@@ -418,9 +418,10 @@
   // A member stands for election after one to two election timeouts without
   // a leader; a leader steps down after one without a quorum.
   Duration election_timeout = std::chrono::milliseconds(1000);
-  // The same for the first time after its start: a live leader's heartbeat
-  // comes sooner.
-  Duration first_election_timeout = std::chrono::milliseconds(1000);
+  // The same while it knows no leader, as after its start: longer than a live
+  // leader's heartbeat takes to come. It doubles with each election lost, up to
+  // the one above, for disks or links too slow for it.
+  Duration vacancy_timeout = std::chrono::milliseconds(1000);
   Duration resend_timeout = std::chrono::milliseconds(400);
   Duration announce_interval = std::chrono::seconds(2);
   uint32_t max_inflight_appends = 16;      // per member
@@ -518,6 +519,8 @@
   std::optional<MemberId> leader{};
   LogIndex commit_index{};
   TimePoint election_deadline{};
+  TimePoint pre_vote_at{};      // when this member last asked for one
+  uint32_t lost_elections = 0;  // in a row, that this member stood for
   TimePoint leader_seen{};
   TimePoint next_heartbeat{};
   TimePoint next_announce{};
--- a/samphirebank/consensus/election.cc
+++ b/samphirebank/consensus/election.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "samphirebank/consensus/internal/core.h"
 
 namespace samphirebank::consensus::internal {
@@ -51,7 +53,7 @@
 void StartPreVote(Context& context) {
   State& state = context.state;
   state.role = Role::kPreCandidate;
-  state.leader.reset();
+  state.pre_vote_at = context.now;
   state.votes = {state.options.self};
   if (HasVotes(state)) {
     StandForElection(context);
@@ -60,12 +62,28 @@
   }
 }
 
+// OutranksRival says whether this member goes on and another that asks at the
+// same time gives way: of equal logs the greater name wins. It does so for a
+// short while only, as the greater one may not be able to win.
+bool OutranksRival(const Context& context, const Message& message,
+                   const VoteRequest& request) {
+  const State& state = context.state;
+  const bool asks_now =
+      state.role == Role::kPreCandidate &&
+      context.now - state.pre_vote_at < state.options.vacancy_timeout / 4;
+  const bool equal = request.last_term == LastTerm(state) &&
+                     request.last_index == LastIndex(state);
+  return asks_now && equal && message.from < state.options.self;
+}
+
 void HandlePreVoteRequest(Context& context, const Message& message,
                           const VoteRequest& request) {
-  const State& state = context.state;
+  State& state = context.state;
   const bool granted = message.term > state.hard_state.term &&
-                       IsUpToDate(state, request) && !HasLiveLeader(context);
+                       IsUpToDate(state, request) && !HasLiveLeader(context) &&
+                       !OutranksRival(context, message, request);
   if (granted) {
+    if (state.role == Role::kPreCandidate) state.role = Role::kFollower;
     Send(context, message.from, VoteReply{.pre_vote = true, .granted = true});
     context.actions.messages.back().term = message.term;
   } else {
@@ -84,17 +102,25 @@
   return mixed ^ (mixed >> 31);
 }
 
-void SetElectionDeadline(Context& context, Duration timeout) {
+Duration ElectionTimeout(const State& state) {
+  const Options& options = state.options;
+  if (state.leader) return options.election_timeout;
+  Duration timeout = options.vacancy_timeout;
+  for (uint32_t i = 1; i < state.lost_elections; ++i) {
+    if (timeout >= options.election_timeout) break;
+    timeout *= 2;
+  }
+  return std::min(timeout, options.election_timeout);
+}
+
+void ResetElectionDeadline(Context& context) {
   State& state = context.state;
+  const Duration timeout = ElectionTimeout(state);
   const auto span = static_cast<uint64_t>(timeout.count());
   const auto extra = static_cast<int64_t>(NextRandom(state) % span);
   state.election_deadline = context.now + timeout + Duration(extra);
 }
 
-void ResetElectionDeadline(Context& context) {
-  SetElectionDeadline(context, context.state.options.election_timeout);
-}
-
 void BecomeFollower(Context& context, Term term,
                     std::optional<MemberId> leader) {
   State& state = context.state;
@@ -106,6 +132,7 @@
   if (state.role == Role::kLeader) FailRounds(context);
   state.role = Role::kFollower;
   state.leader = std::move(leader);
+  if (state.leader) state.lost_elections = 0;
   state.votes.clear();
   state.progress.clear();
   ResetElectionDeadline(context);
@@ -115,10 +142,13 @@
 void ElectionTick(Context& context) {
   State& state = context.state;
   if (context.now < state.election_deadline) return;
-  ResetElectionDeadline(context);
+  if (state.role == Role::kCandidate) ++state.lost_elections;
   const Membership& membership = CurrentMembership(state).membership;
-  if (state.storage_full || !membership.IsVoter(state.options.self)) return;
-  StartPreVote(context);
+  const bool stands =
+      !state.storage_full && membership.IsVoter(state.options.self);
+  if (stands) state.leader.reset();
+  ResetElectionDeadline(context);
+  if (stands) StartPreVote(context);
 }
 
 bool HasLiveLeader(const Context& context) {
--- a/samphirebank/consensus/internal/core.h
+++ b/samphirebank/consensus/internal/core.h
@@ -65,9 +65,8 @@
 // Elections (election.cc).
 
 uint64_t NextRandom(State& state);
+// ResetElectionDeadline draws it between one and two timeouts from now.
 void ResetElectionDeadline(Context& context);
-// SetElectionDeadline draws it between one and two timeouts from now.
-void SetElectionDeadline(Context& context, Duration timeout);
 // BecomeFollower enters `term`, or gives up what role it has in this term.
 void BecomeFollower(Context& context, Term term,
                     std::optional<MemberId> leader);
--- a/samphirebank/consensus/step.cc
+++ b/samphirebank/consensus/step.cc
@@ -168,7 +168,7 @@
     internal::AppendEntry(context, std::move(entry));
   }
   state.synced_index = LastIndex(state);
-  internal::SetElectionDeadline(context, state.options.first_election_timeout);
+  internal::ResetElectionDeadline(context);
   return state;
 }
 
--- a/samphirebank/coordinator/server.cc
+++ b/samphirebank/coordinator/server.cc
@@ -19,7 +19,7 @@
 constexpr Duration kReplicationTick = milliseconds(50);
 constexpr Duration kElectionTimeout = milliseconds(1000);
 // Above the leader's heartbeat interval and a crossing between regions.
-constexpr Duration kFirstElectionTimeout = milliseconds(400);
+constexpr Duration kVacancyTimeout = milliseconds(400);
 constexpr Duration kAnnounceInterval = milliseconds(300);
 constexpr Duration kFollowerForgotten = std::chrono::seconds(60);
 
@@ -88,7 +88,7 @@
       .peers = SeedInstances(this->settings),
       .voters_wanted = 2 * this->settings.losses_tolerated + 1,
       .election_timeout = kElectionTimeout,
-      .first_election_timeout = kFirstElectionTimeout,
+      .vacancy_timeout = kVacancyTimeout,
       .announce_interval = kAnnounceInterval,
       .tick = kReplicationTick};
   // One instance founds the group; the seeds agree on which.
--- a/samphirebank/replication/member.cc
+++ b/samphirebank/replication/member.cc
@@ -144,7 +144,7 @@
       .self = this->disk->self(),
       .seed = RandomNumber(),
       .election_timeout = this->options.election_timeout,
-      .first_election_timeout = this->options.first_election_timeout,
+      .vacancy_timeout = this->options.vacancy_timeout,
       .announce_interval = this->options.announce_interval};
   for (const InstanceId& peer : this->options.peers) {
     if (peer != self) member.peers.push_back(peer);
--- a/samphirebank/replication/replication.h
+++ b/samphirebank/replication/replication.h
@@ -62,7 +62,7 @@
   // old leader's last one ends.
   Duration election_timeout = std::chrono::milliseconds(750);
   // The same for the first election after the start.
-  Duration first_election_timeout = std::chrono::milliseconds(750);
+  Duration vacancy_timeout = std::chrono::milliseconds(750);
   Duration announce_interval = std::chrono::seconds(2);
   Duration tick = std::chrono::milliseconds(20);
 };
