Take a gateway's first table from any coordinator of its region

Cause: a gateway takes tables from the nearest coordinator.

Ruled out: the polls (every coordinator was heard at once).

Change: without any table one is taken from every coordinator of the region. The bytes stay within the region, and only at the start.

Test: follow_test "the first table comes from any coordinator of the region", failed before.

--- a/samphirebank/follow/follow.cc
+++ b/samphirebank/follow/follow.cc
@@ -18,12 +18,21 @@
   }
 }
 
+bool IsInRegion(const Follower& follower, const InstanceId& coordinator) {
+  const auto found = follower.sources.find(coordinator);
+  return found != follower.sources.end() && found->second.heard_at &&
+         found->second.region == follower.options.region;
+}
+
 // TakesTableFrom says whether a coordinator is to send a table newer than the
-// follower's own: the nearest one, and any while that does not do it.
+// follower's own: the nearest one, and any while that does not do it. Without a
+// table nothing can be served: then any of the region's will do at once.
 bool TakesTableFrom(const Follower& follower, const InstanceId& from,
                     routes::TableVersion own, TimePoint now) {
   const auto nearest = NearestHeard(follower, now);
   if (!nearest || *nearest == from) return true;
+  const bool has_none = own == routes::TableVersion();
+  if (has_none && IsInRegion(follower, from)) return true;
   return follower.newest_table > own &&
          now - follower.newest_table_at >= follower.options.table_patience;
 }
--- a/samphirebank/follow/follow.h
+++ b/samphirebank/follow/follow.h
@@ -91,8 +91,9 @@
   std::vector<InstanceId> seeds{};
   ZoneId zone{};  // of the instance that follows
   RegionId region{};
-  // Tables come from the nearest coordinator. One that is told of and does not
-  // come within this time is taken from any.
+  // Tables come from the nearest coordinator, the first one from any of the
+  // region. One that is told of and does not come within this time is taken
+  // from any.
   Duration table_patience = std::chrono::milliseconds(500);
   Duration poll_interval = std::chrono::milliseconds(400);
   // One that was never heard, or not lately, is asked less often.
--- a/samphirebank/follow/follow_test.cc
+++ b/samphirebank/follow/follow_test.cc
@@ -123,6 +123,22 @@
   CHECK(PollOf(follower, kOther, {}, kStart).takes_table);
 }
 
+TEST_CASE("the first table comes from any coordinator of the region") {
+  const InstanceId far("10.0.0.7");
+  Follower follower = Near();
+  Directory directory;
+  Update same_zone = kNear;
+  same_zone.zone = follower.options.zone;
+  Merge(follower, kSeed, same_zone, directory, kStart);
+  Merge(follower, kOther, kNear, directory, kStart);
+  Merge(follower, far, kFar, directory, kStart);
+  REQUIRE(NearestHeard(follower, kStart) == kSeed);
+  CHECK(PollOf(follower, kOther, {}, kStart).takes_table);
+  CHECK_FALSE(PollOf(follower, far, {}, kStart).takes_table);
+  const routes::TableVersion own(4);
+  CHECK_FALSE(PollOf(follower, kOther, own, kStart).takes_table);
+}
+
 TEST_CASE("a table that does not come in time is taken from any coordinator") {
   Follower follower = Near();
   Directory directory;
