Print what a router did when the two flaky process tests fail

slow_callers_process_test and region_faults_process_test each failed once under load and said only that a count was missing. Now the first prints the router's events by reason, the second what came instead of an answer. No bound changed.

Seen while looking: beside 12 busy processes slow_callers failed again once, of 8 runs (0 of 200 cut in 60 s, in a run that began right after a build); beside 16 it passed. Socket buffers are full after 6 to 9 s in all runs that passed, so it is not slow filling. region_faults passed once beside 12.

--- a/samphirebank/outcomes_test/fleet.cc
+++ b/samphirebank/outcomes_test/fleet.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <stdexcept>
 
 #include "samphirebank/contracts/contracts.h"
@@ -52,6 +53,15 @@
   return true;
 }
 
+// TextOf returns the value of a text field of a log line; empty if it has none.
+std::string TextOf(const std::string& line, const std::string& field) {
+  const std::string begin = "\"" + field + "\":\"";
+  const size_t at = line.find(begin);
+  if (at == std::string::npos) return {};
+  const size_t value = at + begin.size();
+  return line.substr(value, line.find('"', value) - value);
+}
+
 int CountLines(const std::string& path, const std::vector<std::string>& parts) {
   std::ifstream file(path);
   int count = 0;
@@ -211,6 +221,19 @@
   return CountLines(this->folder.path() + "/" + name + ".log", parts);
 }
 
+std::string Fleet::EventCounts(const std::string& name) const {
+  std::ifstream file(this->folder.path() + "/" + name + ".log");
+  std::map<std::string, int> counts;
+  for (std::string line; std::getline(file, line);) {
+    ++counts[TextOf(line, "name") + " (" + TextOf(line, "reason") + ")"];
+  }
+  std::string text;
+  for (const auto& [event, count] : counts) {
+    text += event + ": " + std::to_string(count) + "\n";
+  }
+  return text;
+}
+
 int Fleet::Requests(size_t router) const {
   const std::string name = "\"requests\":";
   const testing::Reply reply = testing::Ask(
--- a/samphirebank/outcomes_test/internal/fleet.h
+++ b/samphirebank/outcomes_test/internal/fleet.h
@@ -81,6 +81,8 @@
   // Events counts the lines of a process's log with each of `parts`.
   int Events(const std::string& name,
              const std::vector<std::string>& parts) const;
+  // EventCounts lists how often a process logged each event, by reason.
+  std::string EventCounts(const std::string& name) const;
   // Requests counts the requests that a router holds.
   int Requests(size_t router) const;
   // Ready waits until each router answers a completion.
--- a/samphirebank/outcomes_test/slow_callers_process_test.cc
+++ b/samphirebank/outcomes_test/slow_callers_process_test.cc
@@ -69,6 +69,8 @@
           return this->Left(reason) >= kCallers;
         },
         kLongest));
+    const std::string counts = this->fleet.EventCounts("r1");
+    CAPTURE(counts);
     CHECK(this->Left(reason) == kCallers);
     CHECK(this->most_mib < kMostMib);
     CHECK(WaitUntil([&] { return this->fleet.Requests(0) == 0; }));
--- a/samphirebank/regions_test/region_faults_process_test.cc
+++ b/samphirebank/regions_test/region_faults_process_test.cc
@@ -16,8 +16,12 @@
 using testing::Reply;
 using testing::WaitUntil;
 
+// Served says whether a call is answered; what came instead is printed.
 bool Served(const Router& router) {
-  return Ask(router.caller, ModelCall("guides", 1)).status == 200;
+  const Reply reply = Ask(router.caller, ModelCall("guides", 1));
+  if (reply.status == 200) return true;
+  MESSAGE(router.name, " answered ", reply.status, ": ", reply.body);
+  return false;
 }
 
 // Truthful says that a reply is a whole answer or a refusal before running.
