Call a caller that does not read a slow reader whichever clock ends it

A stuck run was caught with the event counts that it prints now: all 200 callers were cut, 179 as "slow-reader" and 21 as "lost", and the test waits for 200 of the first. The kernel ends a connection whose window stays shut for 10 s (TCP_USER_TIMEOUT), counted from when the caller's buffer was full; the router's own timer of 8 s counts from the last piece that the socket took. On a busy machine the router's send buffer fills more than 2 s later than the caller's, and the kernel is first.

Ruled out: buffers still filling (full after 6 to 9 s in every run), the timer (it fires for the others in the same run). An on-call engineer read "lost" for a caller that was there all the time.

Change: a time-out of the kernel while output waits counts as a slow reader.

--- a/samphirebank/net/internal/server_stream.h
+++ b/samphirebank/net/internal/server_stream.h
@@ -55,6 +55,8 @@
 
   // WatchCaller notices a caller that closes while its request is served.
   void WatchCaller();
+  // ReasonOfHangup reads what a connection that the kernel ended failed with.
+  CloseReason ReasonOfHangup(int error) const;
   bool WriteHead();
   bool WritePiece();
   bool WriteEnd();
--- a/samphirebank/net/net_test.cc
+++ b/samphirebank/net/net_test.cc
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,14 +49,20 @@
   loop.Run();
 }
 
-// Raw sends `bytes` over a socket of its own and returns all that comes back.
-std::string Raw(uint16_t port, std::string_view bytes) {
+// Connected returns a socket that is connected to a port of this host.
+int Connected(uint16_t port) {
   const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in to{};
   to.sin_family = AF_INET;
   to.sin_port = htons(port);
   to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   connect(descriptor, reinterpret_cast<sockaddr*>(&to), sizeof(to));
+  return descriptor;
+}
+
+// Raw sends `bytes` over a socket of its own and returns all that comes back.
+std::string Raw(uint16_t port, std::string_view bytes) {
+  const int descriptor = Connected(port);
   send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   std::string all;
   char buffer[4096];
@@ -209,6 +216,31 @@
   CHECK(!answer.failed);
 }
 
+TEST_CASE("a caller that does not read is a slow reader to the kernel, too") {
+  Loop loop;
+  std::optional<CloseReason> reason;
+  // The kernel's limit ends before the server's own.
+  const uint16_t port = loop.Listen(
+      {.write_timeout = 2 * kGiveUp,
+       .on_request = [&](const std::shared_ptr<ServerStream>& stream) {
+         stream->on_closed = [&](CloseReason why) {
+           reason = why;
+           loop.Stop();
+         };
+         stream->SendHead(200, {}, std::nullopt);
+         stream->on_drained = [kept = stream.get()] {
+           kept->Send(std::string(64 << 10, 'x'));
+         };
+       }});
+  const int caller = Connected(port);
+  const std::string_view bytes = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+  send(caller, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  RunLimited(loop);
+  close(caller);
+  REQUIRE(reason);
+  CHECK(*reason == CloseReason::kSlowReader);
+}
+
 TEST_CASE("requests that could smuggle another are refused and cut") {
   Loop loop;
   int requests = 0;
--- a/samphirebank/net/server_stream.cc
+++ b/samphirebank/net/server_stream.cc
@@ -97,11 +97,18 @@
 void ServerStreamImpl::WatchCaller() {
   const int descriptor = lws_get_socket_fd(this->wsi);
   this->impl.hangups->Watch(descriptor, [this, descriptor] {
-    const bool lost = SocketError(descriptor) == ETIMEDOUT;
-    this->Cut(lost ? CloseReason::kLost : CloseReason::kHungUp);
+    this->Cut(this->ReasonOfHangup(SocketError(descriptor)));
   });
 }
 
+CloseReason ServerStreamImpl::ReasonOfHangup(int error) const {
+  if (error != ETIMEDOUT) return CloseReason::kHungUp;
+  // The kernel gives up a caller that takes nothing, too, and counts from
+  // when the caller's buffer was full: that may be before the write timer.
+  const bool output_waits = this->write_timer != TimerId();
+  return output_waits ? CloseReason::kSlowReader : CloseReason::kLost;
+}
+
 void ServerStreamImpl::StartReadTimer() {
   this->StopTimer(this->read_timer);
   const Duration left = this->read_until - Loop::Now();
