Log why a packet was refused, and from where

The reason and the sender's address are logged now. link_test: a forged packet's line has both; failed before. No behaviour measured.

--- a/samphirebank/link/link.cc
+++ b/samphirebank/link/link.cc
@@ -80,7 +80,7 @@
       const size_t count =
           this->datagrams.receive_from(asio::buffer(buffer), from, 0, error);
       if (error) return;
-      this->Deliver({buffer.data(), count});
+      this->Deliver({buffer.data(), count}, from.address().to_string());
     }
   }
 
@@ -95,11 +95,18 @@
         },
         [this, weak](web::End end) {
           const auto open = weak.lock();
-          if (open && end == web::End::kClosed) this->Deliver(open->input());
+          if (open && end == web::End::kClosed) {
+            this->Deliver(open->input(), "a connection");
+          }
         });
   }
 
-  void Deliver(std::string_view bytes) {
+  void Deliver(std::string_view bytes, const std::string& from) {
+    const auto refuse = [&from](std::string_view reason) {
+      events::Log({.number = events::Number::kPacketRefused,
+                   .address = from,
+                   .reason = std::string(reason)});
+    };
     wire::leaf::try_handle_all(
         [&]() -> wire::leaf::result<void> {
           BOOST_LEAF_AUTO(opened, this->opener.Open(bytes));
@@ -108,7 +115,8 @@
           this->options.on_packet(opened);
           return {};
         },
-        [] { events::Log({.number = events::Number::kPacketRefused}); });
+        [&](const wire::Error& error) { refuse(wire::ReasonOf(error.kind)); },
+        [&] { refuse("unknown"); });
   }
 
   void Transfer(const net::SocketAddress& to, std::string bytes) {
--- a/samphirebank/link/link_test.cc
+++ b/samphirebank/link/link_test.cc
@@ -2,12 +2,17 @@
 
 #include <doctest/doctest.h>
 #include <sodium.h>
+#include <unistd.h>
 
 #include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
 #include <string>
 #include <vector>
 
 #include "samphirebank/base/base.h"
+#include "samphirebank/events/events.h"
 
 namespace samphirebank::link {
 namespace {
@@ -55,5 +60,32 @@
   CHECK(sizes[1] > 300'000);
 }
 
+TEST_CASE("a refused packet is logged with its reason and sender") {
+  REQUIRE(sodium_init() >= 0);
+  const std::string path = "link_test." + std::to_string(getpid()) + ".log";
+  events::Open({.instance = InstanceId("b"), .role = "gateway", .file = path});
+  boost::asio::io_context loop;
+  const net::SocketAddress to{"127.0.0.1", 47'414};
+  const Link receiver(loop, {.address = to,
+                             .key = kKey,
+                             .self = InstanceId("b"),
+                             .on_packet = [](const wire::Opened&) {}});
+  Link forger(loop, {.address = {"127.0.0.1", 47'415},
+                     .key = {.bytes = std::string(32, 'x')},
+                     .self = InstanceId("a"),
+                     .on_packet = [](const wire::Opened&) {}});
+  forger.Send(to, wire::Encode(Text{.text = "forged"}));
+  std::string log;
+  for (int i = 0; i < 500 && log.empty(); ++i) {
+    loop.run_for(std::chrono::milliseconds(10));
+    std::ifstream file(path);
+    log.assign(std::istreambuf_iterator<char>(file), {});
+  }
+  events::Close();
+  std::remove(path.c_str());
+  CHECK(log.find(R"("reason":"forged")") != std::string::npos);
+  CHECK(log.find(R"("address":"127.0.0.1")") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace samphirebank::link
--- a/samphirebank/wire/seal.cc
+++ b/samphirebank/wire/seal.cc
@@ -10,6 +10,26 @@
 #include "samphirebank/wire/wire.h"
 
 namespace samphirebank::wire {
+
+std::string_view ReasonOf(ErrorKind kind) {
+  switch (kind) {
+    case ErrorKind::kTruncated:
+      return "truncated";
+    case ErrorKind::kVersion:
+      return "another version";
+    case ErrorKind::kForged:
+      return "forged";
+    case ErrorKind::kReplayed:
+      return "replayed";
+    case ErrorKind::kMalformed:
+      return "malformed";
+    case ErrorKind::kTooLarge:
+      return "too large";
+    case ErrorKind::kWrongKind:
+      return "wrong kind";
+  }
+  return "unknown";
+}
 namespace {
 
 // A sealed packet is: version (1 byte), boot (8), number (8), ciphertext. The
--- a/samphirebank/wire/wire.h
+++ b/samphirebank/wire/wire.h
@@ -93,6 +93,9 @@
   kWrongKind,
 };
 
+// ReasonOf returns the kind in words, for logs.
+std::string_view ReasonOf(ErrorKind kind);
+
 // Error is what the functions of this library fail with.
 struct Error {
   ErrorKind kind = ErrorKind::kMalformed;
