--- a/samphirebank/events/catalogue.cc
+++ b/samphirebank/events/catalogue.cc
@@ -75,7 +75,7 @@
 
       {Number::kLeaderElected, "leader-elected", kInfo, "This instance leads the control group.", {"term"}},
       {Number::kLeaderSteppedDown, "leader-stepped-down", kInfo, "This instance no longer leads the control group.", {"term", "reason"}},
-      {Number::kMemberAdded, "member-added", kInfo, "The control group has a new member.", {"peer", "address", "count"}},
+      {Number::kMemberAdded, "member-added", kInfo, "The control group has a new member.", {"peer", "detail"}},
       {Number::kMemberRemoved, "member-removed", kInfo, "A member left the control group.", {"peer", "count"}},
       {Number::kSnapshotWritten, "snapshot-written", kInfo, "The replicated state was written whole.", {"count", "bytes", "duration_ms"}},
       {Number::kSnapshotInstalled, "snapshot-installed", kInfo, "The replicated state was taken from another member.", {"count", "bytes", "peer"}},
--- a/samphirebank/soak/fleet.cc
+++ b/samphirebank/soak/fleet.cc
@@ -53,6 +53,10 @@
   return this->world.options.folder + "/" + node.name;
 }
 
+std::string Fleet::LogOf(const Node& node) const {
+  return this->FolderOf(node) + ".log";
+}
+
 std::vector<std::string> Fleet::CommonWords(const std::string& role,
                                             const Node& node) const {
   std::vector<std::string> words = {
@@ -64,7 +68,7 @@
       "--address=" + node.ip,
       "--peer-port=" + std::to_string(this->peer_port),
       "--metrics-port=" + std::to_string(this->metrics_port),
-      "--log-file=" + this->FolderOf(node) + ".log"};
+      "--log-file=" + this->LogOf(node)};
   for (const Node& seed : this->coordinators) {
     words.push_back("--seed=" + seed.serves.ToText());
   }
--- a/samphirebank/soak/internal/fleet.h
+++ b/samphirebank/soak/internal/fleet.h
@@ -52,6 +52,8 @@
   uint16_t metrics_port = testing::FreePort();
   std::vector<Node> gateways{};
   std::vector<Node> coordinators{};
+  // LogOf is the file that a node's runs write their logs to.
+  std::string LogOf(const Node& node) const;
 
  private:
   std::vector<std::string> CommonWords(const std::string& role,
--- a/samphirebank/soak/soak.cc
+++ b/samphirebank/soak/soak.cc
@@ -8,6 +8,7 @@
 #include "samphirebank/soak/internal/caller.h"
 #include "samphirebank/soak/internal/fleet.h"
 #include "samphirebank/soak/internal/injector.h"
+#include "samphirebank/soak/internal/judge.h"
 #include "samphirebank/soak/internal/ledger.h"
 #include "samphirebank/soak/internal/operator.h"
 #include "samphirebank/soak/internal/plan.h"
@@ -123,6 +124,12 @@
   while (!read_back) RunFor(world, kWatchInterval);
 
   report.findings = Judge(world.ledger, {.recovery = options.recovery});
+  Verdicts logs;
+  for (const Node& node : fleet.gateways) JudgeLog(fleet.LogOf(node), logs);
+  for (const Node& node : fleet.coordinators) JudgeLog(fleet.LogOf(node), logs);
+  for (std::string& finding : logs.all) {
+    report.findings.push_back(std::move(finding));
+  }
   Count(world.ledger, report);
   return report;
 }
