--- a/samphirebank/admission/admission_test.cc
+++ b/samphirebank/admission/admission_test.cc
@@ -146,6 +146,7 @@
                double capacity) {
   std::mt19937 random(1);
   std::vector<double> rates;
+  rates.reserve(kinds.size());
   for (const Kind& kind : kinds) rates.push_back(kind.per_second);
   const double rate = std::accumulate(rates.begin(), rates.end(), 0.0);
   std::exponential_distribution<double> pause(rate);  // seconds
--- a/samphirebank/consensus/consensus_test.cc
+++ b/samphirebank/consensus/consensus_test.cc
@@ -187,17 +187,21 @@
   CHECK(holds(3).committed.size() == 3);
 }
 
-TEST_CASE("a member that knows no leader stands sooner than one that did") {
+// RestartedOfThree is one of three voters that has just started again.
+State RestartedOfThree() {
   const Entry founding{.index = LogIndex(1),
                        .term = Term(1),
                        .kind = EntryKind::kMembership,
                        .payload = wire::EncodeFields(
                            Membership{.voters = {Name(0), Name(1), Name(2)}})};
-  State state =
-      Start({.self = Name(0),
-             .election_timeout = milliseconds(1000),
-             .vacancy_timeout = milliseconds(400)},
-            {.hard_state = {.term = Term(1)}, .entries = {founding}}, {});
+  return Start({.self = Name(0),
+                .election_timeout = milliseconds(1000),
+                .vacancy_timeout = milliseconds(400)},
+               {.hard_state = {.term = Term(1)}, .entries = {founding}}, {});
+}
+
+TEST_CASE("a member that knows no leader stands sooner than one that did") {
+  State state = RestartedOfThree();
   const auto stands_at = [&](int64_t ms) {
     return !Step(state, Tick{}, TimePoint(milliseconds(ms))).messages.empty();
   };
@@ -215,16 +219,7 @@
 
 TEST_CASE(
     "elections lost in a row come at longer intervals, to the usual one") {
-  const Entry founding{.index = LogIndex(1),
-                       .term = Term(1),
-                       .kind = EntryKind::kMembership,
-                       .payload = wire::EncodeFields(
-                           Membership{.voters = {Name(0), Name(1), Name(2)}})};
-  State state =
-      Start({.self = Name(0),
-             .election_timeout = milliseconds(1000),
-             .vacancy_timeout = milliseconds(400)},
-            {.hard_state = {.term = Term(1)}, .entries = {founding}}, {});
+  State state = RestartedOfThree();
   TimePoint now{};
   const auto lose = [&] {
     const TimePoint begin = now;
--- a/samphirebank/consensus/election.cc
+++ b/samphirebank/consensus/election.cc
@@ -62,15 +62,31 @@
   }
 }
 
+// ElectionTimeout is short while no leader is known, and grows with each
+// election lost after the first.
+Duration ElectionTimeout(const State& state) {
+  const Options& options = state.options;
+  if (state.leader) return options.election_timeout;
+  Duration timeout = options.vacancy_timeout;
+  for (uint32_t i = 1; i < state.lost_elections; ++i) {
+    if (timeout >= options.election_timeout) break;
+    timeout *= 2;
+  }
+  return std::min(timeout, options.election_timeout);
+}
+
+// A member insists on its own pre-vote for this part of the timeout.
+constexpr int kInsistsForPart = 4;
+
 // OutranksRival says whether this member goes on and another that asks at the
 // same time gives way: of equal logs the greater name wins. It does so for a
 // short while only, as the greater one may not be able to win.
 bool OutranksRival(const Context& context, const Message& message,
                    const VoteRequest& request) {
   const State& state = context.state;
-  const bool asks_now =
-      state.role == Role::kPreCandidate &&
-      context.now - state.pre_vote_at < state.options.vacancy_timeout / 4;
+  const Duration insists = state.options.vacancy_timeout / kInsistsForPart;
+  const bool asks_now = state.role == Role::kPreCandidate &&
+                        context.now - state.pre_vote_at < insists;
   const bool equal = request.last_term == LastTerm(state) &&
                      request.last_index == LastIndex(state);
   return asks_now && equal && message.from < state.options.self;
@@ -102,17 +118,6 @@
   return mixed ^ (mixed >> 31);
 }
 
-Duration ElectionTimeout(const State& state) {
-  const Options& options = state.options;
-  if (state.leader) return options.election_timeout;
-  Duration timeout = options.vacancy_timeout;
-  for (uint32_t i = 1; i < state.lost_elections; ++i) {
-    if (timeout >= options.election_timeout) break;
-    timeout *= 2;
-  }
-  return std::min(timeout, options.election_timeout);
-}
-
 void ResetElectionDeadline(Context& context) {
   State& state = context.state;
   const Duration timeout = ElectionTimeout(state);
--- a/samphirebank/consensus/leader.cc
+++ b/samphirebank/consensus/leader.cc
@@ -52,6 +52,7 @@
   State& state = context.state;
   state.role = Role::kLeader;
   state.leader = state.options.self;
+  state.lost_elections = 0;
   state.votes.clear();
   state.progress.clear();
   state.waiting_rounds.clear();
