Revert "Hold all kinds of prompts of a service to one limit of the wait"

This takes back, a failed try.

The shortest latency target made the limits shorter by a third on average.

--- a/samphirebank/admission/admission.h
+++ b/samphirebank/admission/admission.h
@@ -56,9 +56,6 @@
 
 // Question is one prompt.
 struct Question {
-  // The shortest of the service's routes: with the route's own, prompts that
-  // may take longer would fill the targets up to a wait at which those that may
-  // not are all refused.
   Duration latency_target{};
   Duration wait{};       // until the best target has read what others have
                          // sent, and what another target has cached
--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -93,13 +93,12 @@
   if (!judged) return true;
   const Share share = this->server.ShareOf(this->organisation, Now());
   const admission::Options& options = this->server.admission_options();
-  const bool admitted = admission::Admits(
-      options, {.latency_target =
-                    routes::ShortestLatencyTarget(*this->index, this->service),
-                .wait = chosen.wait + chosen.again,
-                .mean_wait = chosen.mean_wait,
-                .used = share.used,
-                .levels = share.levels});
+  const bool admitted =
+      admission::Admits(options, {.latency_target = this->route->latency_target,
+                                  .wait = chosen.wait + chosen.again,
+                                  .mean_wait = chosen.mean_wait,
+                                  .used = share.used,
+                                  .levels = share.levels});
   if (admitted) {
     this->server.NoteAdmitted(this->organisation, this->TokensOf());
     return true;
--- a/samphirebank/routes/routes.cc
+++ b/samphirebank/routes/routes.cc
@@ -1,6 +1,5 @@
 #include "samphirebank/routes/routes.h"
 
-#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -49,17 +48,6 @@
   }
 }
 
-void NoteLatencyTarget(const Route& route,
-                       std::map<ServiceId, Milliseconds>& shortest) {
-  if (route.latency_target <= Milliseconds(0)) return;
-  for (const Share& share : route.shares) {
-    if (share.weight == 0) continue;
-    const auto [place, added] =
-        shortest.try_emplace(share.service, route.latency_target);
-    if (!added) place->second = std::min(place->second, route.latency_target);
-  }
-}
-
 }  // namespace
 
 Findings Validate(const RouteTable& table) {
@@ -83,7 +71,6 @@
   for (size_t i = 0; i < index.table.routes.size(); ++i) {
     const Route& route = index.table.routes[i];
     index.by_host[route.host][route.path_prefix] = i;
-    NoteLatencyTarget(route, index.latency_by_service);
   }
   for (size_t i = 0; i < index.table.organisations.size(); ++i) {
     for (const std::string& key : index.table.organisations[i].api_keys) {
@@ -125,13 +112,6 @@
   return &index.table.services[found->second];
 }
 
-Milliseconds ShortestLatencyTarget(const RouteIndex& index,
-                                   const ServiceId& id) {
-  const auto found = index.latency_by_service.find(id);
-  return found == index.latency_by_service.end() ? Milliseconds(0)
-                                                 : found->second;
-}
-
 const ServiceId& PickService(const Route& route, uint64_t hash) {
   uint64_t point = hash % TotalWeight(route);
   for (const Share& share : route.shares) {
--- a/samphirebank/routes/routes.h
+++ b/samphirebank/routes/routes.h
@@ -165,8 +165,6 @@
       by_host{};
   std::unordered_map<std::string, size_t> organisation_by_key{};
   std::map<ServiceId, size_t> service_by_id{};
-  // The shortest latency target that a route to the service states.
-  std::map<ServiceId, Milliseconds> latency_by_service{};
 };
 
 // BuildIndex makes a valid table searchable.
@@ -184,11 +182,6 @@
 // FindService returns a service; null if the table has none of that name.
 const Service* FindService(const RouteIndex& index, const ServiceId& id);
 
-// ShortestLatencyTarget returns the shortest latency target that a route to a
-// service states; 0 if none states one.
-Milliseconds ShortestLatencyTarget(const RouteIndex& index,
-                                   const ServiceId& id);
-
 // PickService chooses among a valid route's shares in proportion to their
 // weights; equal hashes choose alike.
 const ServiceId& PickService(const Route& route, uint64_t hash);
