--- a/samphirebank/link/link_test.cc
+++ b/samphirebank/link/link_test.cc
@@ -13,6 +13,7 @@
 
 #include "samphirebank/base/base.h"
 #include "samphirebank/events/events.h"
+#include "samphirebank/testing/processes.h"
 
 namespace samphirebank::link {
 namespace {
@@ -33,7 +34,7 @@
 TEST_CASE("messages of any size arrive, forged ones do not") {
   REQUIRE(sodium_init() >= 0);
   boost::asio::io_context loop;
-  const net::SocketAddress to{"127.0.0.1", 47'411};
+  const net::SocketAddress to{"127.0.0.1", testing::FreePort()};
   std::vector<size_t> sizes;
   Link receiver(loop, {.address = to,
                        .key = kKey,
@@ -43,11 +44,11 @@
                          sizes.push_back(opened.packet.payload.size());
                          if (sizes.size() == 2) loop.stop();
                        }});
-  Link forger(loop, {.address = {"127.0.0.1", 47'412},
+  Link forger(loop, {.address = {"127.0.0.1", testing::FreePort()},
                      .key = {.bytes = std::string(32, 'x')},
                      .self = InstanceId("a"),
                      .on_packet = [](const wire::Opened&) {}});
-  Link sender(loop, {.address = {"127.0.0.1", 47'413},
+  Link sender(loop, {.address = {"127.0.0.1", testing::FreePort()},
                      .key = kKey,
                      .self = InstanceId("a"),
                      .on_packet = [](const wire::Opened&) {}});
@@ -65,12 +66,12 @@
   const std::string path = "link_test." + std::to_string(getpid()) + ".log";
   events::Open({.instance = InstanceId("b"), .role = "gateway", .file = path});
   boost::asio::io_context loop;
-  const net::SocketAddress to{"127.0.0.1", 47'414};
+  const net::SocketAddress to{"127.0.0.1", testing::FreePort()};
   const Link receiver(loop, {.address = to,
                              .key = kKey,
                              .self = InstanceId("b"),
                              .on_packet = [](const wire::Opened&) {}});
-  Link forger(loop, {.address = {"127.0.0.1", 47'415},
+  Link forger(loop, {.address = {"127.0.0.1", testing::FreePort()},
                      .key = {.bytes = std::string(32, 'x')},
                      .self = InstanceId("a"),
                      .on_packet = [](const wire::Opened&) {}});
