Overloaded gateways refuse what they cannot serve in time

A large organisation's caller asks one gateway of its zone for several times what 0.12 of a core can serve, and ten others idle at 15 requests/s. Requests wait unread for seconds (one was read 5.4 s after it was sent), callers give up, the gateway sends on what nobody waits for, runs out of descriptors (5,434 asked for, 4,100 there), and connections wait unaccepted. The timer's lateness showed only one batch of the loop's events (50 to 170 ms), not the backlog.

Ruled out: retries that reach idle instances (the other ten saw no more than before), the targets (2 to 8 of 16 places taken), the organisation's share alone (refused for it in 1 of 3 cases).

Change: the loop's busy time (since it last waited for events, or since accepts failed for want of descriptors) replaces the lateness. shedding/ is new: while the loop is busy for over 50 ms, a growing part of the requests is refused at once, those of organisations above their share first, with 50 to 150 ms until the retry, which reaches another instance; above 1,000 in flight all are. Above 2,000 callers' connections new ones are closed unread; idle ones to targets are at most 16 each and go when descriptors are short.

--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -58,7 +58,9 @@
       session(caller),
       request(std::move(given)),
       limit_timer(owner.loop()),
-      begun_at(Now()) {}
+      begun_at(Now()) {
+  this->server.NoteExchangeBegun();
+}
 
 void Exchange::Start() {
   this->server.NoteRequest();
@@ -71,6 +73,7 @@
     return this->Refuse(400, "the request's fields are malformed");
   }
   if (!this->Admit()) return;
+  if (this->Shed()) return;
   this->StartLimit();
   this->server.NoteServiceRequest(this->service);
   this->server.NoteAsked(this->organisation, this->TokensOf());
@@ -146,6 +149,18 @@
   return true;
 }
 
+// Shed refuses the request at once if this instance is overloaded. The refusal
+// says when to come back, which other instances then take.
+bool Exchange::Shed() {
+  const uint64_t seed = SeedOf(this->call);
+  if (!this->server.ShouldShed(this->organisation, seed, this->begun_at)) {
+    return false;
+  }
+  this->RefuseForNow("this instance is overloaded",
+                     this->server.ShedRetryAfter(seed));
+  return true;
+}
+
 bool Exchange::FindOrganisation() {
   const auto* found =
       routes::FindOrganisation(*this->index, this->call.api_key);
@@ -269,6 +284,7 @@
 }
 
 void Exchange::Close() {
+  if (!this->ended) this->server.NoteExchangeEnded();
   this->ended = true;
   this->limit_timer.cancel();
 }
--- a/samphirebank/gateway/gateway.cc
+++ b/samphirebank/gateway/gateway.cc
@@ -11,7 +11,7 @@
     Server server(loop, settings, dialect);
     process::OnStop(loop,
                     [&] { server.BeginShutdown([&loop] { loop.stop(); }); });
-    loop.run();
+    process::RunToEnd(loop, server.busy_clock());
     return 0;
   });
 }
--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -55,6 +55,7 @@
   // Before the first send.
   bool Admit();
   bool FindOrganisation();
+  bool Shed();
   void StartLimit();
   void OnLimit();
 
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -27,9 +27,11 @@
 #include "samphirebank/gateway/internal/metrics.h"
 #include "samphirebank/gateway/internal/target_pool.h"
 #include "samphirebank/link/link.h"
+#include "samphirebank/process/process.h"
 #include "samphirebank/rotation/rotation.h"
 #include "samphirebank/routes/routes.h"
 #include "samphirebank/settings/settings.h"
+#include "samphirebank/shedding/shedding.h"
 #include "samphirebank/web/web.h"
 
 namespace samphirebank::gateway {
@@ -79,8 +81,20 @@
     return this->table != nullptr && !this->is_draining &&
            !this->rotation.is_out;
   }
-  // keeps_callers says whether connections are kept after an answer.
-  bool keeps_callers() const;
+  // KeepsCaller says whether a connection is kept after the answer that begins
+  // now.
+  bool KeepsCaller(TimePoint now);
+  // busy_clock is for whoever runs the loop.
+  process::BusyClock& busy_clock() { return this->busy; }
+  // ShouldShed says whether a request of an organisation is refused at once
+  // because this instance is overloaded.
+  bool ShouldShed(const OrganisationId& organisation, uint64_t seed,
+                  TimePoint now) const;
+  Duration ShedRetryAfter(uint64_t seed) const {
+    return shedding::RetryAfter(this->shedding.options, seed);
+  }
+  void NoteExchangeBegun() { ++this->exchanges; }
+  void NoteExchangeEnded() { --this->exchanges; }
   // late says whether what is read now has waited in the kernel for long.
   bool late() const { return rotation::IsOverloaded(this->rotation); }
   // takes_requests says whether a request that is read now has time to end
@@ -125,7 +139,7 @@
   void Listen();
   void StartTimer();
   void Tick();
-  void WatchLateness(Duration lateness);
+  void WatchOverload(TimePoint now);
   void ResumePaused();
   void CloseSurplus();
   void WatchControl(TimePoint now);
@@ -179,6 +193,10 @@
   std::optional<TimePoint> control_lost_at;
   TimePoint in_contact_since;
   rotation::Rotation rotation;
+  shedding::Shedding shedding;
+  process::BusyClock busy;
+  size_t exchanges = 0;      // requests that are not answered to their end
+  uint64_t answers_begun = 0;
   bool is_draining = false;
   TimePoint shutdown_at;
   std::function<void()> shutdown_done;
--- a/samphirebank/gateway/internal/session.h
+++ b/samphirebank/gateway/internal/session.h
@@ -51,7 +51,7 @@
   void EndAnswer();
   void NextRequest();
   void SetTimer(Duration limit);
-  bool KeepsAlive() const;
+  bool KeepsAlive();
 
   Server& server;
   std::shared_ptr<web::Connection> connection;
--- a/samphirebank/gateway/internal/target_pool.h
+++ b/samphirebank/gateway/internal/target_pool.h
@@ -29,8 +29,9 @@
             std::optional<Duration> idle_limit, TimePoint now);
   // Sweep closes what was idle for too long.
   void Sweep(TimePoint now);
-  // CloseAll closes the idle connections to one target.
+  // CloseAll closes the idle connections to one target, or to all of them.
   void CloseAll(const net::SocketAddress& target);
+  void CloseAll();
   size_t size() const;
 
  private:
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -28,7 +28,9 @@
 constexpr size_t kMostKeptSessions = 1000;
 // Above it, idle callers' connections are closed, so that descriptors are left
 // for new ones and for targets.
-constexpr size_t kMostSessions = 2000;
+constexpr size_t kMostSessions = 1800;
+// Callers' connections that are read at all.
+constexpr size_t kMaxSessions = 2000;
 constexpr Duration kShutdownMargin = milliseconds(300);
 
 follow::Options FollowOptions(const settings::GatewaySettings& settings) {
@@ -77,6 +79,8 @@
   this->callers = std::make_unique<web::Listener>(
       this->event_loop, this->settings.caller_address,
       [this](std::shared_ptr<web::Connection> connection) {
+        // Closed unread, so that its caller tries another instance at once.
+        if (this->sessions.size() >= kMaxSessions) return connection->Close();
         auto session = std::make_shared<Session>(*this, std::move(connection));
         this->sessions.insert(session);
         session->Start();
@@ -101,11 +105,10 @@
 }
 
 void Server::StartTimer() {
-  const TimePoint due = Now() + kTimerPeriod;
-  this->timer.expires_at(due);
-  this->timer.async_wait([this, due](const error_code& stopped) {
+  this->timer.expires_after(kTimerPeriod);
+  this->timer.async_wait([this](const error_code& stopped) {
     if (stopped) return;
-    this->WatchLateness(Now() - due);
+    this->WatchOverload(Now());
     this->Tick();
     this->StartTimer();
   });
@@ -123,14 +126,29 @@
   }
 }
 
-void Server::WatchLateness(Duration lateness) {
-  if (!rotation::RecordTick(this->rotation, lateness, Now())) return;
+void Server::WatchOverload(TimePoint now) {
+  Duration busy_time = process::BusyTime(this->busy, now);
+  if (const auto stalled = this->callers->stalled_since()) {
+    busy_time = std::max(busy_time, now - *stalled);
+    this->connections.CloseAll();
+  }
+  shedding::RecordTick(this->shedding, busy_time);
+  if (!rotation::RecordTick(this->rotation, busy_time, now)) return;
   events::Log({.number = this->rotation.is_out ? Number::kRotationLeft
                                                : Number::kRotationJoined,
-               .duration = this->rotation.mean_lateness,
+               .duration = this->rotation.mean_busy_time,
                .count = static_cast<int64_t>(this->sessions.size())});
 }
 
+bool Server::ShouldShed(const OrganisationId& organisation, uint64_t seed,
+                        TimePoint now) const {
+  const Share share = this->ShareOf(organisation, now);
+  return shedding::ShouldRefuse(
+      this->shedding, {.in_flight = this->exchanges,
+                       .above_share = share.used > share.levels.nominal,
+                       .seed = seed});
+}
+
 void Server::Tick() {
   const TimePoint now = Now();
   this->ResumePaused();
@@ -263,12 +281,18 @@
                .count = static_cast<int64_t>(this->sessions.size())});
 }
 
-bool Server::keeps_callers() const {
-  return !this->is_draining && this->sessions.size() < kMostKeptSessions;
+bool Server::KeepsCaller(TimePoint now) {
+  if (this->is_draining || this->sessions.size() >= kMostKeptSessions) {
+    return false;
+  }
+  return !rotation::ShouldEndConnection(this->rotation, this->answers_begun++,
+                                        now);
 }
 
 void Server::CloseSurplus() {
-  if (this->sessions.size() < kMostSessions) return;
+  const bool has_room = this->sessions.size() < kMostSessions &&
+                        !this->callers->stalled_since();
+  if (has_room) return;
   const auto open = this->sessions;  // closing changes the set
   for (const std::shared_ptr<Session>& session : open) session->CloseIfIdle();
 }
--- a/samphirebank/gateway/session.cc
+++ b/samphirebank/gateway/session.cc
@@ -4,6 +4,7 @@
 
 #include "samphirebank/gateway/internal/exchange.h"
 #include "samphirebank/gateway/internal/server.h"
+#include "samphirebank/process/process.h"
 
 namespace samphirebank::gateway {
 namespace {
@@ -106,8 +107,8 @@
   this->server.Forget(*this);
 }
 
-bool Session::KeepsAlive() const {
-  return this->keep_alive && this->server.keeps_callers();
+bool Session::KeepsAlive() {
+  return this->keep_alive && this->server.KeepsCaller(process::Now());
 }
 
 void Session::OnDrained(std::function<void()> action) {
--- a/samphirebank/gateway/target_pool.cc
+++ b/samphirebank/gateway/target_pool.cc
@@ -13,6 +13,9 @@
 constexpr Duration kDefaultIdle = milliseconds(4000);
 // Kept away from the stated limit, for the way there and slow timers.
 constexpr Duration kIdleMargin = milliseconds(700);
+// Kept for one target; more than that are left over from a burst, and each
+// takes a descriptor that callers may need.
+constexpr size_t kMaxIdlePerTarget = 16;
 
 }  // namespace
 
@@ -44,9 +47,14 @@
         if (const auto open = weak.lock()) open->Close();
       },
       [](web::End) {});
-  this->idle[target].push_back({.connection = std::move(connection),
-                                .since = now,
-                                .until = now + limit});
+  std::vector<Idle>& kept = this->idle[target];
+  if (kept.size() >= kMaxIdlePerTarget) {
+    kept.front().connection->Close();
+    kept.erase(kept.begin());
+  }
+  kept.push_back({.connection = std::move(connection),
+                  .since = now,
+                  .until = now + limit});
 }
 
 void TargetPool::Sweep(TimePoint now) {
@@ -67,6 +75,13 @@
   this->idle.erase(found);
 }
 
+void TargetPool::CloseAll() {
+  for (const auto& [target, all] : this->idle) {
+    for (const Idle& item : all) item.connection->Close();
+  }
+  this->idle.clear();
+}
+
 size_t TargetPool::size() const {
   size_t total = 0;
   for (const auto& [target, all] : this->idle) total += all.size();
--- a/samphirebank/process/process.cc
+++ b/samphirebank/process/process.cc
@@ -62,6 +62,19 @@
       });
 }
 
+Duration BusyTime(const BusyClock& clock, TimePoint now) {
+  return clock.busy_since ? now - *clock.busy_since : Duration::zero();
+}
+
+void RunToEnd(boost::asio::io_context& loop, BusyClock& clock) {
+  while (!loop.stopped()) {
+    loop.poll();
+    clock.busy_since.reset();
+    loop.run_one();
+    clock.busy_since = Now();
+  }
+}
+
 int Run(const std::string& name,
         const std::function<int(boost::asio::io_context&)>& serve) {
   std::signal(SIGPIPE, SIG_IGN);
--- a/samphirebank/process/process.h
+++ b/samphirebank/process/process.h
@@ -16,6 +16,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "samphirebank/base/base.h"
@@ -38,6 +39,18 @@
 // run later.
 void OnStop(boost::asio::io_context& loop, std::function<void()> action);
 
+// BusyClock tells for how long a loop has been busy without a break. What is
+// handled now has waited unread for at most that time.
+struct BusyClock {
+  std::optional<TimePoint> busy_since{};  // empty while the loop waits
+};
+
+// BusyTime returns the time since the loop last waited for events.
+Duration BusyTime(const BusyClock& clock, TimePoint now);
+
+// RunToEnd runs `loop` until it is stopped and keeps `clock` up to date.
+void RunToEnd(boost::asio::io_context& loop, BusyClock& clock);
+
 // Run gives `serve` a loop on which SIGHUP is logged (settings are read at the
 // start only), and returns its exit code; 1 if it throws. SIGPIPE and SIGXFSZ
 // are ignored, so that such writes fail like others. Logging ends with it.
--- a/samphirebank/rotation/rotation.cc
+++ b/samphirebank/rotation/rotation.cc
@@ -4,19 +4,19 @@
 
 namespace samphirebank::rotation {
 
-bool RecordTick(Rotation& rotation, Duration lateness, TimePoint now) {
+bool RecordTick(Rotation& rotation, Duration busy_time, TimePoint now) {
   const Options& options = rotation.options;
   const std::chrono::duration<double, std::nano> newest =
-      std::max(lateness, Duration::zero());
+      std::max(busy_time, Duration::zero());
   const std::chrono::duration<double, std::nano> mean =
-      rotation.mean_lateness * (1.0 - options.newest_tick_weight) +
+      rotation.mean_busy_time * (1.0 - options.newest_tick_weight) +
       newest * options.newest_tick_weight;
-  rotation.mean_lateness = std::chrono::duration_cast<Duration>(mean);
+  rotation.mean_busy_time = std::chrono::duration_cast<Duration>(mean);
   const Duration elapsed = now - rotation.changed_at;
   const bool should_leave = !rotation.is_out &&
                             elapsed >= options.min_time_in &&
-                            rotation.mean_lateness > options.leave_threshold;
-  const bool has_recovered = rotation.mean_lateness < options.return_threshold;
+                            rotation.mean_busy_time > options.leave_threshold;
+  const bool has_recovered = rotation.mean_busy_time < options.return_threshold;
   const bool should_return =
       rotation.is_out && ((has_recovered && elapsed >= options.min_time_out) ||
                           elapsed >= options.max_time_out);
@@ -27,7 +27,17 @@
 }
 
 bool IsOverloaded(const Rotation& rotation) {
-  return rotation.mean_lateness > rotation.options.leave_threshold;
+  return rotation.mean_busy_time > rotation.options.leave_threshold;
+}
+
+bool ShouldEndConnection(const Rotation& rotation, uint64_t seed,
+                         TimePoint now) {
+  const Options& options = rotation.options;
+  const bool is_moving = rotation.is_out && IsOverloaded(rotation) &&
+                         now - rotation.changed_at >= options.balancer_delay;
+  constexpr uint64_t kSteps = 1024;
+  return is_moving && static_cast<double>(seed % kSteps) <
+                          options.ended_fraction * kSteps;
 }
 
 }  // namespace samphirebank::rotation
--- a/samphirebank/rotation/rotation_test.cc
+++ b/samphirebank/rotation/rotation_test.cc
@@ -8,12 +8,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Run records a tick of the given lateness every 100 ms for `span`. Returns how
+// Run records a tick with the given busy time every 100 ms for `span`. Returns how
 // often the instance left or returned.
-int Run(Rotation& rotation, TimePoint& now, Duration lateness, Duration span) {
+int Run(Rotation& rotation, TimePoint& now, Duration busy_time, Duration span) {
   int changes = 0;
   for (const TimePoint end = now + span; now < end; now += milliseconds(100)) {
-    changes += RecordTick(rotation, lateness, now) ? 1 : 0;
+    changes += RecordTick(rotation, busy_time, now) ? 1 : 0;
   }
   return changes;
 }
@@ -29,7 +29,7 @@
   CHECK_FALSE(rotation.is_out);
 }
 
-TEST_CASE("a single late tick does not make an instance leave") {
+TEST_CASE("a single long busy time does not make an instance leave") {
   Rotation rotation;
   TimePoint now{seconds(100)};
   Run(rotation, now, milliseconds(1), seconds(3));
@@ -53,5 +53,32 @@
   CHECK(changes <= 4);
 }
 
+int EndedOf(const Rotation& rotation, TimePoint now) {
+  int ended = 0;
+  for (uint64_t seed = 0; seed < 1024; ++seed) {
+    ended += ShouldEndConnection(rotation, seed, now) ? 1 : 0;
+  }
+  return ended;
+}
+
+TEST_CASE("some connections end once the balancer knows of an overload") {
+  Rotation rotation;
+  TimePoint now{seconds(100)};
+  Run(rotation, now, milliseconds(150), milliseconds(500));
+  REQUIRE(rotation.is_out);
+  CHECK(EndedOf(rotation, now) == 0);
+  Run(rotation, now, milliseconds(150), seconds(2));
+  CHECK(EndedOf(rotation, now) == 256);
+}
+
+TEST_CASE("no connection ends at an instance that has recovered") {
+  Rotation rotation;
+  TimePoint now{seconds(100)};
+  Run(rotation, now, milliseconds(150), milliseconds(2500));
+  Run(rotation, now, milliseconds(1), milliseconds(800));
+  REQUIRE(rotation.is_out);
+  CHECK(EndedOf(rotation, now) == 0);
+}
+
 }  // namespace
 }  // namespace samphirebank::rotation
--- a/samphirebank/web/connection.cc
+++ b/samphirebank/web/connection.cc
@@ -21,7 +21,7 @@
 constexpr Duration kUnacknowledgedLimit = milliseconds(2000);
 constexpr Duration kLinger = milliseconds(1000);
 // After an accept that failed for want of descriptors.
-constexpr Duration kAcceptRetry = milliseconds(100);
+constexpr Duration kAcceptRetry = milliseconds(20);
 // Accepted in one turn, so that others get theirs.
 constexpr int kMostAccepts = 64;
 constexpr size_t kReadBytes = 64 << 10;
@@ -247,6 +247,7 @@
     tcp::socket accepted(this->acceptor.get_executor());
     this->acceptor.accept(accepted, error);
     if (IsExhaustion(error)) return this->AcceptLater();
+    this->stalled.reset();
     if (error == asio::error::would_block) break;
     if (error) continue;
     this->on_connection(std::make_shared<Connection>(std::move(accepted)));
@@ -256,6 +257,7 @@
 }
 
 void Listener::AcceptLater() {
+  if (!this->stalled) this->stalled = std::chrono::steady_clock::now();
   this->retry_timer.expires_after(kAcceptRetry);
   this->retry_timer.async_wait([this](const error_code& stopped) {
     if (!stopped) this->AcceptWaiting();
--- a/samphirebank/web/web.h
+++ b/samphirebank/web/web.h
@@ -214,6 +214,9 @@
            OnConnection handler);
   // Stop accepts no more.
   void Stop();
+  // stalled_since is when connections began to wait because this process has no
+  // descriptor left for them; empty if none waits.
+  std::optional<TimePoint> stalled_since() const { return this->stalled; }
 
  private:
   void WaitToAccept();
@@ -223,6 +226,7 @@
   tcp::acceptor acceptor;
   asio::steady_timer retry_timer;
   OnConnection on_connection;
+  std::optional<TimePoint> stalled;
 };
 
 // Reply sends the answer to one request; call it once.
