Answers without end are dropped; late requests of callers that left are not sent

Cause: (1) the users' pages say that bytes that are no answer may come without end. Of an answer that is passed on whole, of one event, or of the line before a chunk the gateway kept all that came, until the request's time limit: at 1 Gbit/s more than the machine's memory. (2) Whether a request's caller is still there was only looked at once the mean busy time was high, some ticks into an overload.

Ruled out: heads (limited to 64 KiB by the parser), events of a stream that end (passed on, with backpressure).

Change: at most 4 MiB of an answer, 1 MiB of an event and 64 KiB of a line before a chunk are kept; then the target is dropped, held against it, and the caller is told 502, unknown.

Conclusion: memory of one answer is bounded; that of all together is not.

--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -70,6 +70,7 @@
   void OnConnectionEnd(web::End end);
   bool TakeHead();
   void TakeBody();
+  bool HoldsTooMuch() const;
   void OnAnswerWhole();
   void NextAnswer();
   bool IsSuccess() const;
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -95,8 +95,9 @@
   }
   void NoteExchangeBegun() { ++this->exchanges; }
   void NoteExchangeEnded() { --this->exchanges; }
-  // late says whether what is read now has waited in the kernel for long.
-  bool late() const { return rotation::IsOverloaded(this->rotation); }
+  // IsLate says whether what is read now may have waited in the kernel for
+  // long.
+  bool IsLate(TimePoint now) const;
   // takes_requests says whether a request that is read now has time to end
   // before the process has to.
   bool takes_requests(TimePoint now) const;
@@ -195,7 +196,7 @@
   rotation::Rotation rotation;
   shedding::Shedding shedding;
   process::BusyClock busy;
-  size_t exchanges = 0;      // requests that are not answered to their end
+  size_t exchanges = 0;  // requests that are not answered to their end
   uint64_t answers_begun = 0;
   bool is_draining = false;
   TimePoint shutdown_at;
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -28,6 +28,11 @@
 // Above it the target is read no further until the caller has caught up.
 constexpr size_t kMostQueued = 256 << 10;
 
+// Targets in trouble may send bytes without end. What is held back of one
+// answer until it is whole, or of one event of a stream, is bounded by these.
+constexpr size_t kMaxAnswerBytes = 4 << 20;
+constexpr size_t kMaxEventBytes = 1 << 20;
+
 bool IsInformational(int status) { return status >= 100 && status < 200; }
 
 // These statuses promise that the request has not run.
@@ -94,7 +99,7 @@
   }
   this->sending->connection = std::move(connection);
   // What waited for long may have been given up.
-  if (this->server.late() && this->session.CallerGone()) {
+  if (this->server.IsLate(now) && this->session.CallerGone()) {
     return this->CallerLeft();
   }
   this->sending->sent_at = now;
@@ -145,6 +150,10 @@
       return this->Continue(SendResult::kIncomplete);
     }
     if (current.head_seen) this->TakeBody();
+    if (this->HoldsTooMuch()) {
+      this->EndSending(HealthResult::kFailure);
+      return this->Continue(SendResult::kIncomplete);
+    }
     if (state != web::ReadState::kWhole) return;
     if (!current.foreign) return this->OnAnswerWhole();
     this->NextAnswer();
@@ -200,6 +209,11 @@
   current.body += piece;
 }
 
+bool Exchange::HoldsTooMuch() const {
+  return this->sending->body.size() > kMaxAnswerBytes ||
+         this->stream.buffer.size() > kMaxEventBytes;
+}
+
 void Exchange::PassEvents(std::string_view piece) {
   const std::string whole = forwarding::TakeEvents(this->stream, piece);
   if (whole.empty()) return;
@@ -212,7 +226,7 @@
   this->session.SendChunk(whole);
   if (this->session.queued() > kMostQueued) return this->HoldBack();
   // A late loop passes on several events of a stream at a time.
-  if (this->server.late()) {
+  if (this->server.IsLate(Now())) {
     this->server.ResumeAtTick(this->sending->connection);
   }
 }
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -140,6 +140,12 @@
                .count = static_cast<int64_t>(this->sessions.size())});
 }
 
+bool Server::IsLate(TimePoint now) const {
+  return rotation::IsOverloaded(this->rotation) ||
+         process::BusyTime(this->busy, now) >=
+             this->rotation.options.leave_threshold;
+}
+
 bool Server::ShouldShed(const OrganisationId& organisation, uint64_t seed,
                         TimePoint now) const {
   const Share share = this->ShareOf(organisation, now);
@@ -290,8 +296,8 @@
 }
 
 void Server::CloseSurplus() {
-  const bool has_room = this->sessions.size() < kMostSessions &&
-                        !this->callers->stalled_since();
+  const bool has_room =
+      this->sessions.size() < kMostSessions && !this->callers->stalled_since();
   if (has_room) return;
   const auto open = this->sessions;  // closing changes the set
   for (const std::shared_ptr<Session>& session : open) session->CloseIfIdle();
--- a/samphirebank/gateway/session.cc
+++ b/samphirebank/gateway/session.cc
@@ -78,7 +78,8 @@
   this->timer.cancel();
   if (state != web::ReadState::kWhole) return this->RefuseRequest(state);
   // What waited for long may have been given up.
-  if (this->server.late() && this->connection->OtherSideClosed()) {
+  if (this->server.IsLate(process::Now()) &&
+      this->connection->OtherSideClosed()) {
     this->connection->Close();
     return this->server.Forget(*this);
   }
--- a/samphirebank/rotation/rotation.cc
+++ b/samphirebank/rotation/rotation.cc
@@ -36,8 +36,8 @@
   const bool is_moving = rotation.is_out && IsOverloaded(rotation) &&
                          now - rotation.changed_at >= options.balancer_delay;
   constexpr uint64_t kSteps = 1024;
-  return is_moving && static_cast<double>(seed % kSteps) <
-                          options.ended_fraction * kSteps;
+  return is_moving &&
+         static_cast<double>(seed % kSteps) < options.ended_fraction * kSteps;
 }
 
 }  // namespace samphirebank::rotation
--- a/samphirebank/rotation/rotation_test.cc
+++ b/samphirebank/rotation/rotation_test.cc
@@ -8,8 +8,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Run records a tick with the given busy time every 100 ms for `span`. Returns how
-// often the instance left or returned.
+// Run records a tick with the given busy time every 100 ms for `span`. Returns
+// how often the instance left or returned.
 int Run(Rotation& rotation, TimePoint& now, Duration busy_time, Duration span) {
   int changes = 0;
   for (const TimePoint end = now + span; now < end; now += milliseconds(100)) {
--- a/samphirebank/shedding/shedding.cc
+++ b/samphirebank/shedding/shedding.cc
@@ -30,8 +30,9 @@
   // second half ever more of the others besides.
   const double scaled = 2.0 * shedding.refused_fraction;
   const double fraction =
-      request.above_share ? std::min(scaled, shedding.options.max_refused_fraction)
-                          : scaled - 1.0;
+      request.above_share
+          ? std::min(scaled, shedding.options.max_refused_fraction)
+          : scaled - 1.0;
   return UnitOf(request.seed) < fraction;
 }
 
--- a/samphirebank/web/readers.cc
+++ b/samphirebank/web/readers.cc
@@ -106,7 +106,11 @@
 AnswerReader::~AnswerReader() = default;
 
 ReadState AnswerReader::Feed(std::string* input) {
-  return FeedParser(this->impl->parser, input);
+  const ReadState state = FeedParser(this->impl->parser, input);
+  // The parser bounds a head, but not the line before a chunk.
+  const bool is_endless =
+      state == ReadState::kMore && input->size() > kAnswerHeadBytes;
+  return is_endless ? ReadState::kMalformed : state;
 }
 
 ReadState AnswerReader::FeedEnd() {
--- a/samphirebank/web/web_test.cc
+++ b/samphirebank/web/web_test.cc
@@ -1,8 +1,13 @@
 #include "samphirebank/web/web.h"
 
 #include <doctest/doctest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
+#include <chrono>
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace samphirebank::web {
@@ -133,5 +138,48 @@
   CHECK(chunked.TakeBody() == "hello" + std::string(300, 'x'));
 }
 
+// DescriptorLimit lowers the number of descriptors that this process may open,
+// until it goes out of scope.
+class DescriptorLimit {
+ public:
+  explicit DescriptorLimit(rlim_t most) {
+    getrlimit(RLIMIT_NOFILE, &this->before);
+    const rlimit lowered{.rlim_cur = most, .rlim_max = this->before.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &lowered);
+  }
+  ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &this->before); }
+  DescriptorLimit(const DescriptorLimit&) = delete;
+  DescriptorLimit& operator=(const DescriptorLimit&) = delete;
+
+ private:
+  rlimit before{};
+};
+
+TEST_CASE(
+    "connections that wait for a descriptor are seen, and accepted later") {
+  asio::io_context loop{1};
+  const net::SocketAddress address{.ip = "127.0.0.1", .port = 11190};
+  std::vector<std::shared_ptr<Connection>> accepted;
+  Listener listener(loop, address, [&](std::shared_ptr<Connection> connection) {
+    accepted.push_back(std::move(connection));
+  });
+  const auto run = [&] { loop.run_for(std::chrono::milliseconds(200)); };
+  tcp::socket caller(loop);
+  caller.open(tcp::v4());
+  {
+    // The lowest free descriptor is the first one above the limit.
+    const int lowest_free = dup(caller.native_handle());
+    close(lowest_free);
+    const DescriptorLimit limit(static_cast<rlim_t>(lowest_free));
+    caller.connect({asio::ip::make_address_v4(address.ip), address.port});
+    run();
+    CHECK(accepted.empty());
+    CHECK(listener.stalled_since());
+  }
+  run();
+  CHECK(accepted.size() == 1);
+  CHECK_FALSE(listener.stalled_since());
+}
+
 }  // namespace
 }  // namespace samphirebank::web
