An overloaded gateway ends every fourth connection, not 256 in a row

Cause: read as a newcomer: the number of the answer stood in for a random seed, and the rule took the lowest quarter of 1,024, so 256 answers in a row ended their connections and 768 did not: a herd, which the rule is meant to prevent.

Change: one answer of four ends its connection. rotation_test checks that they are spread; its new check fails on the old rule (12 of 12).

--- a/samphirebank/rotation/rotation.cc
+++ b/samphirebank/rotation/rotation.cc
@@ -30,14 +30,12 @@
   return rotation.mean_busy_time > rotation.options.leave_threshold;
 }
 
-bool ShouldEndConnection(const Rotation& rotation, uint64_t seed,
+bool ShouldEndConnection(const Rotation& rotation, uint64_t answer_number,
                          TimePoint now) {
   const Options& options = rotation.options;
   const bool is_moving = rotation.is_out && IsOverloaded(rotation) &&
                          now - rotation.changed_at >= options.balancer_delay;
-  constexpr uint64_t kSteps = 1024;
-  return is_moving &&
-         static_cast<double>(seed % kSteps) < options.ended_fraction * kSteps;
+  return is_moving && answer_number % options.answers_per_ended_connection == 0;
 }
 
 }  // namespace samphirebank::rotation
--- a/samphirebank/rotation/rotation.h
+++ b/samphirebank/rotation/rotation.h
@@ -14,7 +14,8 @@
 //
 //   RecordTick(rotation, busy_time, now);  // on each tick of the timer
 //   reply(rotation.is_out ? 503 : 200);
-//   Answer(request, ShouldEndConnection(rotation, seed, now) ? kClose : kKeep);
+//   Answer(request, ShouldEndConnection(rotation, number, now) ? kClose :
+//   kKeep);
 #ifndef SAMPHIREBANK_ROTATION_ROTATION_H_
 #define SAMPHIREBANK_ROTATION_ROTATION_H_
 
@@ -42,10 +43,10 @@
   // The balancer takes this long to notice that the instance has left. Before
   // that, a caller whose connection ends may come back to the same instance.
   Duration balancer_delay = std::chrono::seconds(2);
-  // Fraction of the answers that end their connection while the instance is
-  // out and overloaded. Below 1, so that the callers do not all move to one
-  // other instance at the same time.
-  double ended_fraction = 0.25;
+  // One of so many answers ends its connection while the instance is out and
+  // overloaded. Not all do, since the callers would move to one other instance
+  // at the same time.
+  uint64_t answers_per_ended_connection = 4;
 };
 
 // Rotation is the rotation state of one instance.
@@ -66,8 +67,8 @@
 bool IsOverloaded(const Rotation& rotation);
 
 // ShouldEndConnection returns whether an answer that begins now should end its
-// caller's connection. `seed` differs between requests.
-bool ShouldEndConnection(const Rotation& rotation, uint64_t seed,
+// caller's connection. `answer_number` counts the answers of the instance.
+bool ShouldEndConnection(const Rotation& rotation, uint64_t answer_number,
                          TimePoint now);
 
 }  // namespace samphirebank::rotation
--- a/samphirebank/rotation/rotation_test.cc
+++ b/samphirebank/rotation/rotation_test.cc
@@ -53,10 +53,11 @@
   CHECK(changes <= 4);
 }
 
-int EndedOf(const Rotation& rotation, TimePoint now) {
+int EndedOf(const Rotation& rotation, int answers, TimePoint now) {
   int ended = 0;
-  for (uint64_t seed = 0; seed < 1024; ++seed) {
-    ended += ShouldEndConnection(rotation, seed, now) ? 1 : 0;
+  for (int i = 0; i < answers; ++i) {
+    const auto number = static_cast<uint64_t>(i);
+    ended += ShouldEndConnection(rotation, number, now) ? 1 : 0;
   }
   return ended;
 }
@@ -66,9 +67,11 @@
   TimePoint now{seconds(100)};
   Run(rotation, now, milliseconds(150), milliseconds(500));
   REQUIRE(rotation.is_out);
-  CHECK(EndedOf(rotation, now) == 0);
+  CHECK(EndedOf(rotation, 400, now) == 0);
   Run(rotation, now, milliseconds(150), seconds(2));
-  CHECK(EndedOf(rotation, now) == 256);
+  CHECK(EndedOf(rotation, 400, now) == 100);
+  // They are spread evenly, so that not all move at the same time.
+  CHECK(EndedOf(rotation, 12, now) == 3);
 }
 
 TEST_CASE("no connection ends at an instance that has recovered") {
@@ -77,7 +80,7 @@
   Run(rotation, now, milliseconds(150), milliseconds(2500));
   Run(rotation, now, milliseconds(1), milliseconds(800));
   REQUIRE(rotation.is_out);
-  CHECK(EndedOf(rotation, now) == 0);
+  CHECK(EndedOf(rotation, 400, now) == 0);
 }
 
 }  // namespace
