A gateway without descriptors stays overloaded until all its callers are accepted

Each descriptor that came free let one connection be accepted, and that ended the stall, so its time never added up: the gateway counted as idle, and sent on requests of callers that had left seconds before.

Ruled out: callers seen leaving too late on a loop that is busy (IsLate).

Change: the stall ends only when no connection waits any more. web_test lets one of two waiting connections in and checks that the stall goes on; it failed first.

--- a/samphirebank/web/connection.cc
+++ b/samphirebank/web/connection.cc
@@ -247,8 +247,10 @@
     tcp::socket accepted(this->acceptor.get_executor());
     this->acceptor.accept(accepted, error);
     if (IsExhaustion(error)) return this->AcceptLater();
-    this->stalled.reset();
-    if (error == asio::error::would_block) break;
+    if (error == asio::error::would_block) {
+      this->stalled.reset();
+      break;
+    }
     if (error) continue;
     this->on_connection(std::make_shared<Connection>(std::move(accepted)));
     if (!this->acceptor.is_open()) return;
--- a/samphirebank/web/web_test.cc
+++ b/samphirebank/web/web_test.cc
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -164,20 +165,34 @@
     accepted.push_back(std::move(connection));
   });
   const auto run = [&] { loop.run_for(std::chrono::milliseconds(200)); };
-  tcp::socket caller(loop);
-  caller.open(tcp::v4());
+  const tcp::endpoint endpoint(asio::ip::make_address_v4(address.ip),
+                               address.port);
+  tcp::socket first(loop);
+  tcp::socket second(loop);
+  first.open(tcp::v4());
+  second.open(tcp::v4());
+  // The lowest free descriptor is the first one above the limit.
+  const int lowest_free = dup(first.native_handle());
+  close(lowest_free);
+  std::optional<TimePoint> stalled_at;
   {
-    // The lowest free descriptor is the first one above the limit.
-    const int lowest_free = dup(caller.native_handle());
-    close(lowest_free);
     const DescriptorLimit limit(static_cast<rlim_t>(lowest_free));
-    caller.connect({asio::ip::make_address_v4(address.ip), address.port});
+    first.connect(endpoint);
+    second.connect(endpoint);
     run();
     CHECK(accepted.empty());
-    CHECK(listener.stalled_since());
+    stalled_at = listener.stalled_since();
+    CHECK(stalled_at);
+  }
+  {
+    // One descriptor more: the other connection waits since the beginning.
+    const DescriptorLimit limit(static_cast<rlim_t>(lowest_free) + 1);
+    run();
+    CHECK(accepted.size() == 1);
+    CHECK(listener.stalled_since() == stalled_at);
   }
   run();
-  CHECK(accepted.size() == 1);
+  CHECK(accepted.size() == 2);
   CHECK_FALSE(listener.stalled_since());
 }
 
