--- a/samphirebank/events/events.h
+++ b/samphirebank/events/events.h
@@ -67,6 +67,7 @@
   kTargetRefused = 303,
   kTargetStopped = 304,
   kTargetPassedOver = 305,
+  kTargetBrokeOff = 306,
 
   kSchedulerStarted = 400,
   kSchedulerRetired = 401,
--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -47,6 +47,7 @@
     bool foreign = false;  // the answer being read is another request's
     uint32_t foreign_seen = 0;
     bool read_noted = false;  // the target has read the prompt
+    bool has_begun = false;   // a part of the answer's body came
     bool at_home = false;
     Duration reading{};  // of the prompt, as it was estimated
     TimePoint sent_at{};
@@ -68,6 +69,7 @@
   void Listen();
   void OnAnswerData();
   void OnConnectionEnd(web::End end);
+  void NoteBrokenOff(web::End end);
   bool TakeHead();
   void TakeBody();
   bool HoldsTooMuch() const;
--- a/samphirebank/gateway/internal/metrics.h
+++ b/samphirebank/gateway/internal/metrics.h
@@ -34,6 +34,8 @@
   metrics::Counter& connects;
   metrics::Counter& unreachable;
   metrics::Counter& passed_over;
+  metrics::Counter& broken_begun;
+  metrics::Counter& broken_unbegun;
   metrics::Gauge& sessions;
   metrics::Gauge& idle_connections;
   metrics::Gauge& targets;
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -133,6 +133,9 @@
 
   void NoteRequest() { this->metrics.requests.Add(1); }
   void NoteConnect() { this->metrics.connects.Add(1); }
+  void NoteBrokenOff(bool begun) {
+    (begun ? this->metrics.broken_begun : this->metrics.broken_unbegun).Add(1);
+  }
   void NoteUnreadable(int status);
   void NoteOutcome(Outcome outcome, Duration latency);
 
--- a/samphirebank/gateway/metrics.cc
+++ b/samphirebank/gateway/metrics.cc
@@ -8,6 +8,12 @@
 constexpr std::array<const char*, kOutcomes> kOutcomeNames = {
     "served", "failed-by-target", "refused", "unknown", "cut", "caller-left"};
 
+metrics::Description BrokenOff(const char* begun) {
+  return {.name = "broken_off_total",
+          .help = "Answers that targets broke off.",
+          .labels = {{.name = "begun", .value = begun}}};
+}
+
 }  // namespace
 
 Metrics::Metrics()
@@ -33,6 +39,8 @@
       passed_over(this->registry.AddCounter(
           {.name = "passed_over_total",
            .help = "Times that a target was passed over for a while."})),
+      broken_begun(this->registry.AddCounter(BrokenOff("yes"))),
+      broken_unbegun(this->registry.AddCounter(BrokenOff("no"))),
       sessions(this->registry.AddGauge({.name = "caller_connections",
                                         .help = "Open callers' connections."})),
       idle_connections(
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -1,7 +1,9 @@
 // A request's sends to targets, and what comes back.
 #include <chrono>
+#include <sstream>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "samphirebank/gateway/internal/exchange.h"
 #include "samphirebank/gateway/internal/server.h"
@@ -40,6 +42,15 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+// PartsText names the shared parts of a prompt, as callers do.
+std::string PartsText(const std::vector<dialect::PromptPart>& parts) {
+  if (parts.empty()) return "";
+  std::ostringstream text;
+  text << ", shared parts" << std::hex;
+  for (const dialect::PromptPart& part : parts) text << ' ' << part.id;
+  return text.str();
+}
+
 constexpr int kWrongTarget = 421;
 constexpr int kFirstServerError = 500;
 
@@ -206,6 +217,7 @@
   if (this->IsSuccess() && this->route->streamed) {
     return this->PassEvents(piece);
   }
+  current.has_begun = true;
   current.body += piece;
 }
 
@@ -222,6 +234,7 @@
     this->session.BeginChunks(this->sending->status,
                               this->sending->head.passed_on);
   }
+  this->sending->has_begun = true;
   this->bytes_passed += static_cast<int64_t>(whole.size());
   this->session.SendChunk(whole);
   if (this->session.queued() > kMostQueued) return this->HoldBack();
@@ -250,10 +263,24 @@
     this->TakeBody();
     return this->OnAnswerWhole();
   }
+  this->NoteBrokenOff(end);
   this->EndSending(HealthResult::kFailure);
   this->Continue(SendResult::kIncomplete);
 }
 
+void Exchange::NoteBrokenOff(web::End end) {
+  const Sending& current = *this->sending;
+  events::Event event = this->EventOf(Number::kTargetBrokeOff);
+  event.duration = Now() - current.sent_at;
+  if (current.head_seen) event.status = current.status;
+  event.bytes = Bytes(this->bytes_passed);
+  event.reason = end == web::End::kClosed ? "closed" : "broken";
+  event.detail = (current.has_begun ? "answer had begun" : "no answer yet") +
+                 PartsText(this->work.shared);
+  events::Log(event);
+  this->server.NoteBrokenOff(current.has_begun);
+}
+
 void Exchange::OnAnswerWhole() {
   Sending& current = *this->sending;
   if (this->IsSuccess()) {
