Prompt parts that crash targets are quarantined in the whole fleet

Callers saw: sound prompts refused or broken off while targets ended one after the other, about one a second, for as long as prompts with one part came. Cause: a query of death spread by retries. Failures were remembered by target, in each gateway for itself, never by content; a broken-off prompt was sent on to a sound target, which ended too. Ruled out: load (8 to 80 requests at an end, no step); repeats alone. Change: quarantine/ (decisions), evidence between gateways and coordinators in messages 20 to 22, event 307.

--- a/samphirebank/coordinator/internal/server.h
+++ b/samphirebank/coordinator/internal/server.h
@@ -20,6 +20,7 @@
 #include "samphirebank/follow/follow.h"
 #include "samphirebank/link/link.h"
 #include "samphirebank/metrics/metrics.h"
+#include "samphirebank/quarantine/quarantine.h"
 #include "samphirebank/replication/replication.h"
 #include "samphirebank/settings/settings.h"
 #include "samphirebank/web/web.h"
@@ -94,6 +95,8 @@
   void SendTable(const InstanceId& to, FollowerRecord& record, TimePoint now);
   void AnswerLoad(const InstanceId& from, fleetload::Load load);
   void ShareLoad(TimePoint now);
+  void SendEvidence(const InstanceId& to, TimePoint now);
+  void ShareEvidence(TimePoint now);
   void PushUpdates();
   void PushTable();
   uint32_t GatewayCount(TimePoint now) const;
@@ -125,6 +128,7 @@
   follow::Follower others;  // coordinators, to find the group
   std::map<InstanceId, FollowerRecord> followers;
   fleetload::Aggregate loads;
+  quarantine::Aggregate evidence;
   std::unique_ptr<link::Link> peers;
   std::unique_ptr<replication::Replication> replication;
   std::unique_ptr<web::Server> control_server;
--- a/samphirebank/coordinator/peers.cc
+++ b/samphirebank/coordinator/peers.cc
@@ -52,6 +52,20 @@
                                              std::move(share.load), Now());
             break;
           }
+          case wire::Kind::kEvidenceReport: {
+            BOOST_LEAF_AUTO(report, wire::Decode<quarantine::EvidenceReport>(
+                                        opened.packet));
+            quarantine::RecordGateway(this->evidence, opened.from,
+                                      std::move(report.evidence), Now());
+            break;
+          }
+          case wire::Kind::kEvidenceShare: {
+            BOOST_LEAF_AUTO(
+                share, wire::Decode<quarantine::EvidenceShare>(opened.packet));
+            quarantine::RecordCoordinator(this->evidence, opened.from,
+                                          std::move(share.evidence), Now());
+            break;
+          }
           default:
             break;
         }
@@ -112,6 +126,26 @@
   this->peers->Send(this->PeerAddress(from),
                     wire::Encode(fleetload::LoadSum{
                         fleetload::SumExcluding(this->loads, from, now)}));
+  this->SendEvidence(from, now);
+}
+
+void Server::SendEvidence(const InstanceId& to, TimePoint now) {
+  const quarantine::Evidence known =
+      quarantine::SumOfFleet(this->evidence, now);
+  if (known.empty()) return;
+  this->peers->Send(this->PeerAddress(to),
+                    wire::Encode(quarantine::EvidenceSum{.evidence = known}));
+}
+
+void Server::ShareEvidence(TimePoint now) {
+  quarantine::EvictStale(this->evidence, now);
+  const quarantine::EvidenceShare share{
+      .evidence = quarantine::SumOfGateways(this->evidence, now)};
+  if (share.evidence.empty()) return;
+  for (const InstanceId& member : this->replication->members()) {
+    if (member == this->self) continue;
+    this->peers->Send(this->PeerAddress(member), wire::Encode(share));
+  }
 }
 
 void Server::ShareLoad(TimePoint now) {
--- a/samphirebank/coordinator/server.cc
+++ b/samphirebank/coordinator/server.cc
@@ -144,6 +144,7 @@
                  .duration = this->directory.options.heartbeat_timeout});
   }
   this->ShareLoad(now);
+  this->ShareEvidence(now);
   events::Flush();
   std::erase_if(this->followers, [&](const auto& item) {
     return now - item.second.polled_at >= kFollowerForgotten;
--- a/samphirebank/events/catalogue.cc
+++ b/samphirebank/events/catalogue.cc
@@ -55,6 +55,7 @@
       {Number::kTargetStopped, "target-stopped", kInfo, "A target gets no new work, and what ran there was cancelled.", {"target", "count", "revision"}},
       {Number::kTargetPassedOver, "target-passed-over", kWarning, "A target failed and gets no requests of this instance for a while.", {"target", "service", "address", "reason", "count", "duration_ms"}},
       {Number::kTargetBrokeOff, "target-broke-off", kWarning, "A target's connection ended before its answer to a request was whole.", {"request", "organisation", "service", "target", "status", "bytes", "duration_ms", "count", "reason", "detail"}},
+      {Number::kPartQuarantined, "part-quarantined", kError, "Prompts with this part crash targets and are refused for a while.", {"duration_ms", "detail"}},
 
       {Number::kSchedulerStarted, "scheduler-started", kInfo, "This instance shares out a pool.", {"service", "region", "epoch"}},
       {Number::kSchedulerRetired, "scheduler-retired", kInfo, "This instance no longer shares out a pool.", {"service", "region", "epoch", "reason"}},
--- a/samphirebank/events/events.h
+++ b/samphirebank/events/events.h
@@ -68,6 +68,7 @@
   kTargetStopped = 304,
   kTargetPassedOver = 305,
   kTargetBrokeOff = 306,
+  kPartQuarantined = 307,
 
   kSchedulerStarted = 400,
   kSchedulerRetired = 401,
--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -73,6 +73,7 @@
     return this->Refuse(400, "the request's fields are malformed");
   }
   if (!this->Admit()) return;
+  if (this->StopIfQuarantined()) return;
   if (this->Shed()) return;
   this->StartLimit();
   this->server.NoteServiceRequest(this->service);
@@ -142,6 +143,9 @@
   const uint64_t seed = SeedOf(this->call);
   this->service = routes::PickService(*this->route, seed);
   this->work = dispatch::MakeRequestProfile(this->call.prompt, seed);
+  for (const dialect::PromptPart& part : this->work.shared) {
+    this->shared_parts.emplace_back(part.id);
+  }
   this->progress.repetition = this->route->retry_policy;
   this->progress.max_attempts =
       std::max<uint32_t>(this->route->max_attempts, 1);
@@ -161,6 +165,32 @@
   return true;
 }
 
+// StopIfQuarantined ends a request that has a prompt part in quarantine.
+bool Exchange::StopIfQuarantined() {
+  const auto left = this->server.QuarantineLeft(this->shared_parts, Now());
+  if (!left) return false;
+  if (this->sending) this->EndSending(dispatch::HealthResult::kIgnored);
+  const std::string reason = "a part of the prompt makes targets crash";
+  if (this->progress.response_started) {
+    this->Cut(reason);
+  } else if (this->progress.may_have_run) {
+    this->FailUnknown(502, reason);
+  } else {
+    this->RefuseForNow(reason, left);
+  }
+  return true;
+}
+
+void Exchange::OnQuarantine() {
+  const bool waits = !this->ended && this->sending &&
+                     this->sending->connection != nullptr &&
+                     !this->sending->has_begun;
+  if (!waits) return;
+  const bool could_run = this->progress.may_have_run;
+  this->progress.may_have_run = true;
+  if (!this->StopIfQuarantined()) this->progress.may_have_run = could_run;
+}
+
 bool Exchange::FindOrganisation() {
   const auto* found =
       routes::FindOrganisation(*this->index, this->call.api_key);
--- a/samphirebank/gateway/fleet_view.cc
+++ b/samphirebank/gateway/fleet_view.cc
@@ -56,6 +56,7 @@
          .admitted = Whole(fleetload::Rate(used.admitted, now))});
   }
   this->peers->Send(this->PeerAddress(*to), wire::Encode(report));
+  this->ReportEvidence(this->PeerAddress(*to), now);
 }
 
 void Server::TakeLoadSum(const fleetload::Load& load, TimePoint now) {
--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -9,11 +9,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "samphirebank/dialect/dialect.h"
 #include "samphirebank/dispatch/dispatch.h"
 #include "samphirebank/events/events.h"
 #include "samphirebank/forwarding/forwarding.h"
+#include "samphirebank/quarantine/quarantine.h"
 #include "samphirebank/routes/routes.h"
 #include "samphirebank/web/web.h"
 
@@ -32,6 +34,9 @@
   void Start();
   // CallerLeft ends the work at the target; nothing is answered any more.
   void CallerLeft();
+  // OnQuarantine ends the work at the target if the prompt has a part that was
+  // quarantined meanwhile and the answer has not begun.
+  void OnQuarantine();
 
  private:
   // Sending is one send to a target, from its choice to its end.
@@ -50,6 +55,7 @@
     bool has_begun = false;   // a part of the answer's body came
     bool at_home = false;
     Duration reading{};  // of the prompt, as it was estimated
+    quarantine::RunHash run{};
     TimePoint sent_at{};
   };
 
@@ -57,6 +63,7 @@
   bool Admit();
   bool FindOrganisation();
   bool Shed();
+  bool StopIfQuarantined();
   void StartLimit();
   void OnLimit();
 
@@ -69,6 +76,7 @@
   void Listen();
   void OnAnswerData();
   void OnConnectionEnd(web::End end);
+  void NoteBegun();
   void NoteBrokenOff(web::End end);
   bool TakeHead();
   void TakeBody();
@@ -107,6 +115,7 @@
   ServiceId service;
   OrganisationId organisation;
   dispatch::RequestProfile work;
+  std::vector<quarantine::PartId> shared_parts;  // of the prompt
   forwarding::Progress progress;
   forwarding::EventStream stream;
   std::optional<Sending> sending;
--- a/samphirebank/gateway/internal/metrics.h
+++ b/samphirebank/gateway/internal/metrics.h
@@ -36,6 +36,7 @@
   metrics::Counter& passed_over;
   metrics::Counter& broken_begun;
   metrics::Counter& broken_unbegun;
+  metrics::Counter& quarantined_parts;
   metrics::Gauge& sessions;
   metrics::Gauge& idle_connections;
   metrics::Gauge& targets;
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -28,6 +28,7 @@
 #include "samphirebank/gateway/internal/target_pool.h"
 #include "samphirebank/link/link.h"
 #include "samphirebank/process/process.h"
+#include "samphirebank/quarantine/quarantine.h"
 #include "samphirebank/rotation/rotation.h"
 #include "samphirebank/routes/routes.h"
 #include "samphirebank/settings/settings.h"
@@ -47,6 +48,7 @@
   Duration again{};      // reading of what is cached at another target
   bool at_home = false;  // where its parts are likely to be cached
   Duration reading{};    // of its prompt
+  quarantine::RunHash run{};
 };
 
 // Share is how an organisation stands, in tokens a second over the fleet.
@@ -122,6 +124,14 @@
   const admission::Options& admission_options() const {
     return this->admission;
   }
+  // What is known of prompt parts that crash targets; see quarantine.
+  std::optional<Duration> QuarantineLeft(
+      const std::vector<quarantine::PartId>& parts, TimePoint now) const;
+  bool IsSuspect(const std::vector<quarantine::PartId>& parts,
+                 TimePoint now) const;
+  void NoteBegun(const std::vector<quarantine::PartId>& parts);
+  void NoteCrash(const std::vector<quarantine::PartId>& parts,
+                 quarantine::RunHash run);
   // LoadText says what is known of a target's load, and how old that is.
   std::string LoadText(const TargetId& target, TimePoint now) const;
   void NoteSendEnd(const TargetId& target, dispatch::HealthResult ending);
@@ -150,6 +160,8 @@
   void ForgetTargets(TimePoint now);
   void SendPolls(TimePoint now);
   void ReportLoad(TimePoint now);
+  void ReportEvidence(const net::SocketAddress& coordinator, TimePoint now);
+  void JudgeParts(TimePoint now);
   void TakeLoadSum(const fleetload::Load& load, TimePoint now);
   bool IsTold(TimePoint now) const;
   double GatewaysAlike(TimePoint now) const;
@@ -198,6 +210,8 @@
   TimePoint in_contact_since;
   rotation::Rotation rotation;
   shedding::Shedding shedding;
+  quarantine::Quarantine quarantine;
+  TimePoint evicted_at;  // old evidence of it
   process::BusyClock busy;
   size_t exchanges = 0;  // requests that are not answered to their end
   uint64_t answers_begun = 0;
--- a/samphirebank/gateway/internal/session.h
+++ b/samphirebank/gateway/internal/session.h
@@ -26,6 +26,8 @@
   void Start();
   // CloseIfIdle closes a connection on which no request runs.
   void CloseIfIdle();
+  // OnQuarantine lets the running request look at the quarantined parts.
+  void OnQuarantine();
   bool answering() const { return this->exchange != nullptr; }
 
   // The exchange answers by either Reply, or BeginChunks, any number of
--- a/samphirebank/gateway/metrics.cc
+++ b/samphirebank/gateway/metrics.cc
@@ -41,6 +41,9 @@
            .help = "Times that a target was passed over for a while."})),
       broken_begun(this->registry.AddCounter(BrokenOff("yes"))),
       broken_unbegun(this->registry.AddCounter(BrokenOff("no"))),
+      quarantined_parts(this->registry.AddCounter(
+          {.name = "quarantined_parts_total",
+           .help = "Prompt parts that were quarantined."})),
       sessions(this->registry.AddGauge({.name = "caller_connections",
                                         .help = "Open callers' connections."})),
       idle_connections(
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -57,6 +57,7 @@
 }  // namespace
 
 void Exchange::SendToTarget() {
+  if (this->StopIfQuarantined()) return;
   const TimePoint now = Now();
   const auto chosen = this->server.ChooseTarget(this->service, this->work, now);
   if (!chosen) {
@@ -68,7 +69,8 @@
   this->sending = Sending{.target = chosen->id,
                           .address = chosen->address,
                           .at_home = chosen->at_home,
-                          .reading = chosen->reading};
+                          .reading = chosen->reading,
+                          .run = chosen->run};
   this->last_target = chosen->id;
   // Counted from the choice on: others that come before the connection does
   // are not to choose the same idle target.
@@ -113,6 +115,7 @@
   if (this->server.IsLate(now) && this->session.CallerGone()) {
     return this->CallerLeft();
   }
+  if (this->StopIfQuarantined()) return;
   this->sending->sent_at = now;
   ++this->progress.num_sends;
   this->work.tried_targets.insert(this->sending->target);
@@ -217,7 +220,7 @@
   if (this->IsSuccess() && this->route->streamed) {
     return this->PassEvents(piece);
   }
-  current.has_begun = true;
+  this->NoteBegun();
   current.body += piece;
 }
 
@@ -234,7 +237,7 @@
     this->session.BeginChunks(this->sending->status,
                               this->sending->head.passed_on);
   }
-  this->sending->has_begun = true;
+  this->NoteBegun();
   this->bytes_passed += static_cast<int64_t>(whole.size());
   this->session.SendChunk(whole);
   if (this->session.queued() > kMostQueued) return this->HoldBack();
@@ -268,6 +271,11 @@
   this->Continue(SendResult::kIncomplete);
 }
 
+void Exchange::NoteBegun() {
+  if (std::exchange(this->sending->has_begun, true)) return;
+  this->server.NoteBegun(this->shared_parts);
+}
+
 void Exchange::NoteBrokenOff(web::End end) {
   const Sending& current = *this->sending;
   events::Event event = this->EventOf(Number::kTargetBrokeOff);
@@ -279,6 +287,9 @@
                  PartsText(this->work.shared);
   events::Log(event);
   this->server.NoteBrokenOff(current.has_begun);
+  if (!current.has_begun) {
+    this->server.NoteCrash(this->shared_parts, current.run);
+  }
 }
 
 void Exchange::OnAnswerWhole() {
@@ -340,8 +351,10 @@
 
 void Exchange::Continue(SendResult end) {
   const TimePoint now = Now();
+  const bool may_end_another = end == SendResult::kIncomplete &&
+                               this->server.IsSuspect(this->shared_parts, now);
   const bool may_repeat =
-      this->server.MayRepeat(this->service, now) &&
+      !may_end_another && this->server.MayRepeat(this->service, now) &&
       this->server.HasOtherTarget(this->service, this->work.tried_targets);
   const NextAction next =
       forwarding::DecideNextAction(this->progress, end, may_repeat);
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -160,6 +160,7 @@
   this->ResumePaused();
   this->WatchControl(now);
   this->SendPolls(now);
+  this->JudgeParts(now);
   this->ReportLoad(now);
   this->ForgetTargets(now);
   this->CloseSurplus();
@@ -218,6 +219,10 @@
         } else if (opened.packet.kind == wire::Kind::kLoadSum) {
           BOOST_LEAF_AUTO(sum, wire::Decode<fleetload::LoadSum>(opened.packet));
           this->TakeLoadSum(sum.load, Now());
+        } else if (opened.packet.kind == wire::Kind::kEvidenceSum) {
+          BOOST_LEAF_AUTO(sum,
+                          wire::Decode<quarantine::EvidenceSum>(opened.packet));
+          quarantine::TakeFleetEvidence(this->quarantine, sum.evidence, Now());
         }
         return {};
       },
--- a/samphirebank/gateway/session.cc
+++ b/samphirebank/gateway/session.cc
@@ -108,6 +108,12 @@
   this->server.Forget(*this);
 }
 
+void Session::OnQuarantine() {
+  // It may end, and be replaced, inside the call.
+  const std::shared_ptr<Exchange> running = this->exchange;
+  if (running != nullptr) running->OnQuarantine();
+}
+
 bool Session::KeepsAlive() {
   return this->keep_alive && this->server.KeepsCaller(process::Now());
 }
--- a/samphirebank/gateway/targets.cc
+++ b/samphirebank/gateway/targets.cc
@@ -56,7 +56,8 @@
       .mean_wait = dispatch::MeanWait(this->targets_book, candidates),
       .again = chosen->duplicate_prefill_time,
       .at_home = chosen->at_home,
-      .reading = chosen->prefill_time};
+      .reading = chosen->prefill_time,
+      .run = quarantine::HashRun(target.id, target.started_at_ms)};
 }
 
 dispatch::Distance Server::DistanceTo(const ZoneId& zone) const {
--- a/samphirebank/wire/wire.h
+++ b/samphirebank/wire/wire.h
@@ -71,6 +71,9 @@
   kLoadReport = 17,       // gateway to coordinator: its work and rates
   kLoadShare = 18,        // coordinator to coordinator: its gateways' sum
   kLoadSum = 19,          // coordinator to gateway: what all others have
+  kEvidenceReport = 20,   // gateway to coordinator: suspected prompt parts
+  kEvidenceShare = 21,    // coordinator to coordinator: its gateways' evidence
+  kEvidenceSum = 22,      // coordinator to gateway: the fleet's evidence
 };
 
 // Packet is an encoded message with its kind.
