What a target says of itself holds: it leaves, or wants no request for a time

Requests were sent to a target that had said in an answer that it leaves, until its heartbeat said so too, and to one that had asked for a pause, since only its failures were counted. Cause: an answer's head was read for the request alone, not for its target. If all pause, callers are told until when. A run that a gateway forgot and hears of again keeps what it said.

--- a/samphirebank/dialect/dialect.h
+++ b/samphirebank/dialect/dialect.h
@@ -103,6 +103,9 @@
   bool not_run = false;  // the target states that it did not run it
   bool encoded = false;  // the body is not as the target made it
   bool closes = false;   // no further request on this connection
+  bool leaving = false;  // the target takes no new work from now on
+  // For how long a target that refused the request wants no other one.
+  std::optional<Duration> retry_after{};
   std::optional<Duration> idle_limit{};  // how long the connection is kept
   std::optional<TargetLoad> load{};
   Headers passed_on{};  // what the caller gets
--- a/samphirebank/dispatch/book.cc
+++ b/samphirebank/dispatch/book.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "samphirebank/dispatch/dispatch.h"
 
@@ -88,6 +89,34 @@
   Eject(state, tracker.options, now);
 }
 
+void RecordRun(TargetTracker& tracker, const TargetId& target,
+               int64_t started_at_ms) {
+  TargetState& state = tracker.targets[target];
+  if (state.run_started_at_ms == started_at_ms) return;
+  state = {.run_started_at_ms = started_at_ms};
+}
+
+bool RecordLeaving(TargetTracker& tracker, const TargetId& target,
+                   int64_t run_started_at_ms) {
+  TargetState& state = tracker.targets[target];
+  if (state.run_started_at_ms != run_started_at_ms) return false;
+  return !std::exchange(state.leaving, true);
+}
+
+void RecordPause(TargetTracker& tracker, const TargetId& target,
+                 int64_t run_started_at_ms, TimePoint until) {
+  TargetState& state = tracker.targets[target];
+  if (state.run_started_at_ms != run_started_at_ms) return;
+  state.paused_until = std::max(state.paused_until, until);
+}
+
+bool TakesWork(const TargetTracker& tracker, const TargetId& target,
+               TimePoint now) {
+  const auto found = tracker.targets.find(target);
+  if (found == tracker.targets.end()) return true;
+  return !found->second.leaving && now >= found->second.paused_until;
+}
+
 void EvictStaleEntries(TargetTracker& tracker, TimePoint now) {
   for (auto& [part, targets] : tracker.part_sent_at) {
     std::erase_if(targets, [&](const auto& entry) {
--- a/samphirebank/dispatch/dispatch.h
+++ b/samphirebank/dispatch/dispatch.h
@@ -117,6 +117,10 @@
   uint32_t consecutive_failures = 0;
   double failure_rate = 0.0;  // moving average, from 0 to 1
   TimePoint ejected_until{};
+  // The run that the other members describe, by its start.
+  int64_t run_started_at_ms = 0;
+  bool leaving = false;      // the target said that it takes no new work
+  TimePoint paused_until{};  // the target asked for no request before
 };
 
 // TargetTracker holds a router's view of all targets.
@@ -171,6 +175,21 @@
 // target at once.
 void RecordUnreachable(TargetTracker& tracker, const TargetId& target,
                        TimePoint now);
+// RecordRun records that a target announced a run. The state of an earlier run
+// is dropped.
+void RecordRun(TargetTracker& tracker, const TargetId& target,
+               int64_t started_at_ms);
+// RecordLeaving and RecordPause record what a target's run said in an answer:
+// that it takes no new work, or none before `until`. They ignore what an
+// earlier run than the recorded one said.
+bool RecordLeaving(TargetTracker& tracker, const TargetId& target,
+                   int64_t run_started_at_ms);
+void RecordPause(TargetTracker& tracker, const TargetId& target,
+                 int64_t run_started_at_ms, TimePoint until);
+// TakesWork returns whether a request may be sent to a target. Unlike an
+// ejection, what a target said itself holds even if no other target is left.
+bool TakesWork(const TargetTracker& tracker, const TargetId& target,
+               TimePoint now);
 // EvictStaleEntries removes the entries of prompt parts that are no longer
 // assumed to be cached. Call it every few seconds.
 void EvictStaleEntries(TargetTracker& tracker, TimePoint now);
--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -91,7 +91,7 @@
 }
 
 bool Exchange::AdmitPrompt(const ChosenTarget& chosen) {
-  const bool judged = this->progress.num_sends == 0 &&
+  const bool judged = !this->admitted && this->progress.num_sends == 0 &&
                       this->progress.connect_failures == 0 &&
                       this->call.prompt.tokens_in > Tokens(0);
   if (!judged) return true;
@@ -104,6 +104,7 @@
                 .used = share.used,
                 .fair_shares = share.levels});
   if (admitted) {
+    this->admitted = true;
     this->server.NoteAdmitted(this->organisation, this->TokensOf());
     return true;
   }
--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -54,8 +54,8 @@
     bool read_noted = false;  // the target has read the prompt
     bool has_begun = false;   // a part of the answer's body came
     bool at_home = false;
-    Duration reading{};  // of the prompt, as it was estimated
-    quarantine::RunHash run{};
+    Duration reading{};             // of the prompt, as it was estimated
+    int64_t run_started_at_ms = 0;  // of the target
     TimePoint sent_at{};
   };
 
@@ -79,6 +79,7 @@
   void NoteBegun();
   void NoteBrokenOff(web::End end);
   bool TakeHead();
+  void NoteTargetSaid();
   void TakeBody();
   bool HoldsTooMuch() const;
   void OnAnswerWhole();
@@ -125,6 +126,7 @@
   Duration time_limit{};
   std::optional<TimePoint> first_answer_at;
   int64_t bytes_passed = 0;
+  bool admitted = false;  // its prompt
   bool ended = false;
 };
 
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -48,7 +48,7 @@
   Duration again{};      // reading of what is cached at another target
   bool at_home = false;  // where its parts are likely to be cached
   Duration reading{};    // of its prompt
-  quarantine::RunHash run{};
+  int64_t run_started_at_ms = 0;
 };
 
 // Share is how an organisation stands, in tokens a second over the fleet.
@@ -112,8 +112,12 @@
   // ReadyCount is how many targets of a service take new work.
   size_t ReadyCount(const ServiceId& service) const;
   // HasOtherTarget says whether there is one that was not tried.
-  bool HasOtherTarget(const ServiceId& service,
-                      const std::set<TargetId>& tried) const;
+  bool HasOtherTarget(const ServiceId& service, const std::set<TargetId>& tried,
+                      TimePoint now) const;
+  // PauseLeft is how long all targets of a service want no request; empty if
+  // one takes work.
+  std::optional<Duration> PauseLeft(const ServiceId& service,
+                                    TimePoint now) const;
   std::optional<ChosenTarget> ChooseTarget(const ServiceId& service,
                                            const dispatch::RequestProfile& work,
                                            TimePoint now);
@@ -135,6 +139,8 @@
   // LoadText says what is known of a target's load, and how old that is.
   std::string LoadText(const TargetId& target, TimePoint now) const;
   void NoteSendEnd(const TargetId& target, dispatch::HealthResult ending);
+  // NoteLeaving records that a run of a target said that it leaves.
+  void NoteLeaving(const TargetId& target, int64_t run_started_at_ms);
   void NoteUnreachable(const TargetId& target,
                        const net::SocketAddress& address);
   void NoteServiceRequest(const ServiceId& service);
@@ -150,6 +156,8 @@
   void NoteOutcome(Outcome outcome, Duration latency);
 
  private:
+  std::vector<const directory::Announcement*> TargetsWithWork(
+      const ServiceId& service, TimePoint now) const;
   void Listen();
   void StartTimer();
   void Tick();
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -52,6 +52,7 @@
 }
 
 constexpr int kWrongTarget = 421;
+constexpr int kUnavailable = 503;
 constexpr int kFirstServerError = 500;
 
 }  // namespace
@@ -63,14 +64,16 @@
   if (!chosen) {
     if (this->progress.response_started) return this->Cut("no target");
     if (this->progress.may_have_run) return this->FailUnknown(502, "no target");
-    return this->RefuseForNow("no target");
+    const auto pause = this->server.PauseLeft(this->service, now);
+    return this->RefuseForNow(
+        pause ? "all targets asked for a pause" : "no target", pause);
   }
   if (!this->AdmitPrompt(*chosen)) return;
   this->sending = Sending{.target = chosen->id,
                           .address = chosen->address,
                           .at_home = chosen->at_home,
                           .reading = chosen->reading,
-                          .run = chosen->run};
+                          .run_started_at_ms = chosen->run_started_at_ms};
   this->last_target = chosen->id;
   // Counted from the choice on: others that come before the connection does
   // are not to choose the same idle target.
@@ -116,6 +119,12 @@
     return this->CallerLeft();
   }
   if (this->StopIfQuarantined()) return;
+  if (!dispatch::TakesWork(this->server.book(), this->sending->target, now)) {
+    // It said so while the connection came about.
+    this->ReleaseConnection();
+    this->EndSending(HealthResult::kIgnored);
+    return this->SendToTarget();
+  }
   this->sending->sent_at = now;
   ++this->progress.num_sends;
   this->work.tried_targets.insert(this->sending->target);
@@ -186,13 +195,28 @@
                     (!current.head.request.value.empty() &&
                      current.head.request != this->call.id);
   if (current.foreign) return ++current.foreign_seen <= kMostForeign;
-  if (current.head.load) {
-    dispatch::RecordLoadReport(this->server.book(), current.target,
-                               *current.head.load, Now());
-  }
+  this->NoteTargetSaid();
   return true;
 }
 
+// NoteTargetSaid records what the answer's head says of the target itself.
+void Exchange::NoteTargetSaid() {
+  const Sending& current = *this->sending;
+  const dialect::AnswerHead& head = current.head;
+  const TimePoint now = Now();
+  dispatch::TargetTracker& book = this->server.book();
+  if (head.load) {
+    dispatch::RecordLoadReport(book, current.target, *head.load, now);
+  }
+  if (head.leaving) {
+    this->server.NoteLeaving(current.target, current.run_started_at_ms);
+  }
+  if (head.retry_after && current.status == kUnavailable) {
+    dispatch::RecordPause(book, current.target, current.run_started_at_ms,
+                          now + *head.retry_after);
+  }
+}
+
 void Exchange::NextAnswer() {
   Sending& current = *this->sending;
   current.reader =
@@ -288,7 +312,9 @@
   events::Log(event);
   this->server.NoteBrokenOff(current.has_begun);
   if (!current.has_begun) {
-    this->server.NoteCrash(this->shared_parts, current.run);
+    this->server.NoteCrash(
+        this->shared_parts,
+        quarantine::HashRun(current.target, current.run_started_at_ms));
   }
 }
 
@@ -309,7 +335,11 @@
     this->Complete();
     return chunked ? this->session.EndChunks() : this->session.Reply(answer);
   }
-  const bool not_run = current.head.not_run || current.status == kWrongTarget;
+  // A refusal that does not name this request may be an earlier one, sent
+  // twice.
+  const bool names_request = current.head.request == this->call.id;
+  const bool not_run =
+      names_request && (current.head.not_run || current.status == kWrongTarget);
   if (not_run) {
     this->ReleaseConnection();
     this->EndSending(current.status == kWrongTarget ? HealthResult::kFailure
@@ -355,7 +385,7 @@
                                this->server.IsSuspect(this->shared_parts, now);
   const bool may_repeat =
       !may_end_another && this->server.MayRepeat(this->service, now) &&
-      this->server.HasOtherTarget(this->service, this->work.tried_targets);
+      this->server.HasOtherTarget(this->service, this->work.tried_targets, now);
   const NextAction next =
       forwarding::DecideNextAction(this->progress, end, may_repeat);
   const bool ran =
@@ -372,7 +402,8 @@
       return this->SendAgain(end);
     case NextAction::kRefuse:
       return this->RefuseForNow(
-          end == SendResult::kConnectFailed ? "unreachable" : "target full");
+          end == SendResult::kConnectFailed ? "unreachable" : "target full",
+          this->server.PauseLeft(this->service, now));
     case NextAction::kReportUnknown:
       return this->FailUnknown(502, "the target broke off");
     default:
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -245,7 +245,7 @@
                  .peer = from,
                  .address = known.address.ToText()});
     // A new run has none of the old run's failures.
-    this->targets_book.targets.erase(target);
+    dispatch::RecordRun(this->targets_book, target, known.started_at_ms);
   }
   for (const TargetId& target : heard.leaving) {
     const auto& known = this->directory.entries.at(target).announcement;
--- a/samphirebank/gateway/targets.cc
+++ b/samphirebank/gateway/targets.cc
@@ -27,9 +27,35 @@
   return directory::ReadyTargets(this->directory, service).size();
 }
 
+// TargetsWithWork returns the targets of a service to which requests may be
+// sent.
+std::vector<const directory::Announcement*> Server::TargetsWithWork(
+    const ServiceId& service, TimePoint now) const {
+  auto ready = directory::ReadyTargets(this->directory, service);
+  std::erase_if(ready, [&](const auto* target) {
+    return !dispatch::TakesWork(this->targets_book, target->id, now);
+  });
+  return ready;
+}
+
+std::optional<Duration> Server::PauseLeft(const ServiceId& service,
+                                          TimePoint now) const {
+  std::optional<Duration> least;
+  for (const auto* target : directory::ReadyTargets(this->directory, service)) {
+    const auto found = this->targets_book.targets.find(target->id);
+    if (found == this->targets_book.targets.end()) return std::nullopt;
+    if (found->second.leaving) continue;
+    const Duration left = found->second.paused_until - now;
+    if (left <= Duration::zero()) return std::nullopt;
+    least = std::min(least.value_or(left), left);
+  }
+  return least;
+}
+
 bool Server::HasOtherTarget(const ServiceId& service,
-                            const std::set<TargetId>& tried) const {
-  const auto ready = directory::ReadyTargets(this->directory, service);
+                            const std::set<TargetId>& tried,
+                            TimePoint now) const {
+  const auto ready = this->TargetsWithWork(service, now);
   return std::ranges::any_of(
       ready, [&](const auto* target) { return !tried.contains(target->id); });
 }
@@ -37,7 +63,7 @@
 std::optional<ChosenTarget> Server::ChooseTarget(
     const ServiceId& service, const dispatch::RequestProfile& work,
     TimePoint now) {
-  const auto ready = directory::ReadyTargets(this->directory, service);
+  const auto ready = this->TargetsWithWork(service, now);
   std::vector<dispatch::Candidate> candidates;
   candidates.reserve(ready.size());
   for (const directory::Announcement* target : ready) {
@@ -57,7 +83,7 @@
       .again = chosen->duplicate_prefill_time,
       .at_home = chosen->at_home,
       .reading = chosen->prefill_time,
-      .run = quarantine::HashRun(target.id, target.started_at_ms)};
+      .run_started_at_ms = target.started_at_ms};
 }
 
 dispatch::Distance Server::DistanceTo(const ZoneId& zone) const {
@@ -104,6 +130,15 @@
                .reason = "failed"});
 }
 
+void Server::NoteLeaving(const TargetId& target, int64_t run_started_at_ms) {
+  const bool is_news =
+      dispatch::RecordLeaving(this->targets_book, target, run_started_at_ms);
+  if (!is_news) return;
+  events::Log({.number = Number::kTargetLeaving,
+               .target = target,
+               .reason = "said so in an answer"});
+}
+
 void Server::NoteUnreachable(const TargetId& target,
                              const net::SocketAddress& address) {
   const TimePoint now = Now();
