Odd entries of another writer can no longer stop or mislead those who follow

Port 0 and 0.0.0.0 were used as targets. Did not happen: deep nesting (bounded by json/), a port above 65535, 1e999. Quarantine messages fit a datagram.

--- a/samphirebank/net/address.cc
+++ b/samphirebank/net/address.cc
@@ -25,6 +25,14 @@
   return address;
 }
 
+bool IsHostAddress(const SocketAddress& address) {
+  in_addr parsed{};
+  if (inet_pton(AF_INET, address.ip.c_str(), &parsed) != 1) return false;
+  const uint32_t number = ntohl(parsed.s_addr);
+  constexpr uint32_t kFirstMulticast = 0xe0000000;  // 224.0.0.0
+  return address.port != 0 && number != 0 && number < kFirstMulticast;
+}
+
 std::optional<std::string> FindHeader(const std::vector<Header>& headers,
                                       std::string_view name) {
   for (const Header& header : headers) {
--- a/samphirebank/net/net.h
+++ b/samphirebank/net/net.h
@@ -67,6 +67,11 @@
 // ParseSocketAddress reads "ip:port"; nothing if it is malformed.
 std::optional<SocketAddress> ParseSocketAddress(std::string_view text);
 
+// IsHostAddress returns whether a connection to the address can reach a single
+// host: it has a port, and the number is neither 0.0.0.0 nor a multicast or
+// broadcast number.
+bool IsHostAddress(const SocketAddress& address);
+
 // Response is a whole response.
 struct Response {
   int status = 200;
--- a/samphirebank/quarantine/quarantine.h
+++ b/samphirebank/quarantine/quarantine.h
@@ -102,7 +102,7 @@
 using Evidence = std::vector<PartEvidence>;
 
 // kMaxParts and kMaxCrashes bound a message, so that it fits into a datagram.
-inline constexpr size_t kMaxParts = 16;
+inline constexpr size_t kMaxParts = 10;
 inline constexpr size_t kMaxCrashes = 10;
 
 // EvidenceReport is sent by a gateway to a coordinator: its own evidence.
--- a/samphirebank/targets/announcement.cc
+++ b/samphirebank/targets/announcement.cc
@@ -107,7 +107,8 @@
   announcement.zone = ZoneId(reader.String("availability_zone"));
   const std::string value = reader.String("address");
   const auto parsed = net::ParseSocketAddress(value);
-  if (!parsed) result.findings.Add("address", value, "an IP number and a port");
+  const bool usable = parsed && net::IsHostAddress(*parsed);
+  if (!usable) result.findings.Add("address", value, "an IP number and a port");
   announcement.address = parsed.value_or(net::SocketAddress{});
   announcement.services = ParseOffers(object, result.findings);
   announcement.slots =
--- a/samphirebank/targets/targets_test.cc
+++ b/samphirebank/targets/targets_test.cc
@@ -29,6 +29,10 @@
       R"({"id":"t","region":"r","availability_zone":"z",
           "address":"127.0.0.1:1","services":[{"name":"s","kind":5}]})");
   CHECK(wrong_kind.findings.all().size() == 1);
+  const ParsedAnnouncement no_port = ParseAnnouncement(
+      R"({"id":"t","region":"r","availability_zone":"z",
+          "address":"127.0.0.1:0","services":[{"name":"s"}]})");
+  CHECK(no_port.findings.all().size() == 1);
   constexpr size_t kDepth = 1'000'000;
   const std::string deep = R"({"services":)" + std::string(kDepth, '[') +
                            std::string(kDepth, ']') + "}";
