--- a/samphirebank/dispatch/dispatch_test.cc
+++ b/samphirebank/dispatch/dispatch_test.cc
@@ -214,5 +214,28 @@
   CHECK(Pick(tracker, targets, {}, kStart) != 0);
 }
 
+TEST_CASE("what a target's run says of itself ends with the run") {
+  TargetTracker tracker;
+  const TargetId target("t1");
+  CHECK(TakesWork(tracker, target, kStart));
+  RecordRun(tracker, target, 7);
+  RecordPause(tracker, target, 7, kStart + seconds(2));
+  RecordPause(tracker, target, 7, kStart + seconds(1));
+  CHECK_FALSE(TakesWork(tracker, target, kStart + milliseconds(1999)));
+  CHECK(TakesWork(tracker, target, kStart + seconds(2)));
+  CHECK(RecordLeaving(tracker, target, 7));
+  CHECK_FALSE(RecordLeaving(tracker, target, 7));
+  CHECK_FALSE(TakesWork(tracker, target, kStart + seconds(60)));
+  // The same run is announced again, as after a cut.
+  RecordRun(tracker, target, 7);
+  CHECK_FALSE(TakesWork(tracker, target, kStart + seconds(60)));
+  RecordRun(tracker, target, 8);
+  CHECK(TakesWork(tracker, target, kStart));
+  // A late answer of the former run.
+  CHECK_FALSE(RecordLeaving(tracker, target, 7));
+  RecordPause(tracker, target, 7, kStart + seconds(2));
+  CHECK(TakesWork(tracker, target, kStart));
+}
+
 }  // namespace
 }  // namespace samphirebank::dispatch
--- a/samphirebank/outcome/outcome_test.cc
+++ b/samphirebank/outcome/outcome_test.cc
@@ -172,6 +172,25 @@
   }
 }
 
+TEST_CASE("an answer that is no stream is not passed on into a resumed one") {
+  for (const HeadReceived& head :
+       {HeadReceived{.attempt = 2, .status = 500, .event_stream = true},
+        HeadReceived{.attempt = 2, .status = 503, .states_not_run = true},
+        HeadReceived{.attempt = 2, .status = 200, .event_stream = false}}) {
+    Driver driver(true);
+    driver.Raise(GrantReceived{GrantOf("t1", true)});
+    driver.Raise(
+        HeadReceived{.attempt = 1, .status = 200, .event_stream = true});
+    driver.Raise(BodyReceived{.attempt = 1, .bytes = Bytes(9), .events = 3});
+    driver.Raise(ResponseFailed{.attempt = 1, .detail = "cut"});
+    REQUIRE(driver.Find<Dispatch>() != nullptr);
+    driver.Raise(head);
+    CHECK(driver.Find<AbortResponse>() != nullptr);
+    CHECK(driver.Find<ForwardBuffered>() == nullptr);
+    CHECK(driver.Find<FinishResponse>() == nullptr);
+  }
+}
+
 TEST_CASE("an attempt with a faulty response head is cancelled") {
   Driver driver(true);
   driver.Raise(GrantReceived{GrantOf("t1")});
--- a/samphirebank/quarantine/quarantine_test.cc
+++ b/samphirebank/quarantine/quarantine_test.cc
@@ -6,10 +6,15 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <deque>
+#include <functional>
 #include <random>
 #include <string>
 
+#include "samphirebank/net/net.h"
+#include "samphirebank/wire/wire.h"
+
 namespace samphirebank::quarantine {
 namespace {
 
@@ -193,7 +198,8 @@
       }
       RecordBegun(this->gateways[prompt.gateway].quarantine, prompt.parts,
                   this->now);
-      this->waiting.erase(this->waiting.begin() + static_cast<long>(i));
+      this->waiting.erase(this->waiting.begin() +
+                          static_cast<std::ptrdiff_t>(i));
       --i;
     }
   }
@@ -440,6 +446,9 @@
     for (const PartEvidence& item : report) {
       RC_ASSERT(item.crashes.size() <= kMaxCrashes);
     }
+    constexpr size_t kSealBytes = 128;
+    RC_ASSERT(wire::Encode(EvidenceSum{.evidence = report}).payload.size() <=
+              net::kMaxDatagram - kSealBytes);
   }));
 }
 
