--- a/samphirebank/dispatch/book.cc
+++ b/samphirebank/dispatch/book.cc
@@ -92,14 +92,19 @@
 void RecordRun(TargetTracker& tracker, const TargetId& target,
                int64_t started_at_ms) {
   TargetState& state = tracker.targets[target];
-  if (state.run_started_at_ms == started_at_ms) return;
-  state = {.run_started_at_ms = started_at_ms};
+  if (state.run_started_at_ms != started_at_ms) {
+    state = {.run_started_at_ms = started_at_ms};
+    tracker.restricted.erase(target);
+  } else if (state.leaving || state.paused_until != TimePoint()) {
+    tracker.restricted.insert(target);
+  }
 }
 
 bool RecordLeaving(TargetTracker& tracker, const TargetId& target,
                    int64_t run_started_at_ms) {
   TargetState& state = tracker.targets[target];
   if (state.run_started_at_ms != run_started_at_ms) return false;
+  tracker.restricted.insert(target);
   return !std::exchange(state.leaving, true);
 }
 
@@ -107,11 +112,13 @@
                  int64_t run_started_at_ms, TimePoint until) {
   TargetState& state = tracker.targets[target];
   if (state.run_started_at_ms != run_started_at_ms) return;
+  tracker.restricted.insert(target);
   state.paused_until = std::max(state.paused_until, until);
 }
 
 bool TakesWork(const TargetTracker& tracker, const TargetId& target,
                TimePoint now) {
+  if (!tracker.restricted.contains(target)) return true;
   const auto found = tracker.targets.find(target);
   if (found == tracker.targets.end()) return true;
   return !found->second.leaving && now >= found->second.paused_until;
--- a/samphirebank/dispatch/dispatch.h
+++ b/samphirebank/dispatch/dispatch.h
@@ -127,6 +127,8 @@
 struct TargetTracker {
   Options options{};
   std::unordered_map<TargetId, TargetState> targets{};
+  // The targets whose current run said that it leaves or wants a pause.
+  std::set<TargetId> restricted{};
   // The time when each prompt part was last sent to each target.
   std::unordered_map<uint64_t, std::unordered_map<TargetId, TimePoint>>
       part_sent_at{};
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -166,6 +166,9 @@
   void CloseSurplus();
   void WatchControl(TimePoint now);
   void ForgetTargets(TimePoint now);
+  // PruneRestricted drops the targets that take work again, and those to which
+  // nothing is sent in any case.
+  void PruneRestricted(TimePoint now);
   void SendPolls(TimePoint now);
   void ReportLoad(TimePoint now);
   void ReportEvidence(const net::SocketAddress& coordinator, TimePoint now);
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -163,6 +163,7 @@
   this->JudgeParts(now);
   this->ReportLoad(now);
   this->ForgetTargets(now);
+  this->PruneRestricted(now);
   this->CloseSurplus();
   this->connections.Sweep(now);
   dispatch::EvictStaleEntries(this->targets_book, now);
--- a/samphirebank/gateway/targets.cc
+++ b/samphirebank/gateway/targets.cc
@@ -32,15 +32,27 @@
 std::vector<const directory::Announcement*> Server::TargetsWithWork(
     const ServiceId& service, TimePoint now) const {
   auto ready = directory::ReadyTargets(this->directory, service);
+  if (this->targets_book.restricted.empty()) return ready;
   std::erase_if(ready, [&](const auto* target) {
     return !dispatch::TakesWork(this->targets_book, target->id, now);
   });
   return ready;
 }
 
+void Server::PruneRestricted(TimePoint now) {
+  std::erase_if(this->targets_book.restricted, [&](const TargetId& target) {
+    const auto found = this->directory.entries.find(target);
+    const bool is_ready =
+        found != this->directory.entries.end() &&
+        found->second.announcement.state == directory::State::kReady;
+    return !is_ready || dispatch::TakesWork(this->targets_book, target, now);
+  });
+}
+
 std::optional<Duration> Server::PauseLeft(const ServiceId& service,
                                           TimePoint now) const {
   std::optional<Duration> least;
+  if (this->targets_book.restricted.empty()) return least;
   for (const auto* target : directory::ReadyTargets(this->directory, service)) {
     const auto found = this->targets_book.targets.find(target->id);
     if (found == this->targets_book.targets.end()) return std::nullopt;
