A coordinator that stops hands over its vote first

Cause: a coordinator that got SIGTERM ended at once and told nobody. Its vote counted until the new leader's voter timeout, which began with the election: 4 to 5.5 s with two live votes of three, beside a learner that had everything.

Ruled out: the learner lags (it has both tables); the change is refused (it is done within one interval).

Change: Replication::Depart. A member that stops asks the leader to replace its vote by a learner; a leader does so for itself. It ends once the membership without its vote is committed, at once if nobody can take the vote, and after 4 s at the latest. A member that departs is given no vote and isn't added again.

--- a/samphirebank/coordinator/coordinator.cc
+++ b/samphirebank/coordinator/coordinator.cc
@@ -9,7 +9,7 @@
                    const dialect::Dialect& dialect) {
   return process::Run("coordinator", [&](boost::asio::io_context& loop) {
     Server server(loop, settings, dialect);
-    process::OnStop(loop, [&loop] { loop.stop(); });
+    process::OnStop(loop, [&] { server.Stop([&loop] { loop.stop(); }); });
     loop.run();
     return server.failed() ? 1 : 0;
   });
--- a/samphirebank/coordinator/internal/server.h
+++ b/samphirebank/coordinator/internal/server.h
@@ -8,10 +8,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "samphirebank/coordinator/internal/document.h"
 #include "samphirebank/dialect/dialect.h"
@@ -55,6 +57,11 @@
          const settings::CoordinatorSettings& given,
          const dialect::Dialect& adapter);
 
+  // Stop hands over this instance's vote, and calls `done` once the process may
+  // end. Until then the instance serves as before.
+  void Stop(std::function<void()> done) {
+    this->replication->Depart(std::move(done));
+  }
   // failed says whether the instance had to stop.
   bool failed() const { return this->has_failed; }
 
--- a/samphirebank/coordinator/peers.cc
+++ b/samphirebank/coordinator/peers.cc
@@ -26,6 +26,8 @@
       [&]() -> wire::leaf::result<void> {
         switch (opened.packet.kind) {
           case wire::Kind::kConsensus:
+          case wire::Kind::kDepartRequest:
+          case wire::Kind::kDepartReply:
             this->replication->OnMessage(opened);
             break;
           case wire::Kind::kFollowPoll: {
--- a/samphirebank/events/catalogue.cc
+++ b/samphirebank/events/catalogue.cc
@@ -86,6 +86,7 @@
       {Number::kStorageFailed, "storage-failed", kError, "The data folder failed; the process ends.", {"detail"}},
       {Number::kDiskFull, "disk-full", kError, "The data folder takes no more writes; changes are refused until it does.", {}},
       {Number::kDiskWritable, "disk-writable", kInfo, "The data folder takes writes again.", {}},
+      {Number::kMemberDeparts, "member-departs", kInfo, "This member of the control group is done handing over, and stops.", {"reason", "duration_ms"}},
 
       {Number::kClaimGranted, "claim-granted", kInfo, "A call that may run once may be sent.", {"request", "organisation", "count"}},
       {Number::kClaimReplayed, "claim-replayed", kInfo, "A call was repeated and got the recorded answer.", {"request", "organisation", "outcome"}},
--- a/samphirebank/events/events.h
+++ b/samphirebank/events/events.h
@@ -99,6 +99,7 @@
   kStorageFailed = 608,
   kDiskFull = 609,
   kDiskWritable = 610,
+  kMemberDeparts = 611,
 
   kClaimGranted = 700,
   kClaimReplayed = 701,
--- a/samphirebank/replication/internal/member.h
+++ b/samphirebank/replication/internal/member.h
@@ -29,6 +29,7 @@
   void Propose(std::vector<std::string> entries, ProposalDone done) override;
   void Confirm(ConfirmDone done) override;
   void Replace(const InstanceId& instance, ReplaceDone done) override;
+  void Depart(std::function<void()> done) override;
   void OnMessage(const wire::Opened& opened) override;
   void AddPeers(const std::vector<InstanceId>& new_peers) override;
 
@@ -62,6 +63,13 @@
     ProposalDone done;
     TimePoint deadline;
   };
+  // Departure is the state of a Depart call.
+  struct Departure {
+    std::function<void()> done;
+    TimePoint started_at;
+    TimePoint deadline;
+    TimePoint next_request;
+  };
   using MembershipDone = std::function<void(consensus::Outcome)>;
 
   void OpenStorage();
@@ -70,6 +78,18 @@
   // MaintainMembership proposes the change that PlanMembershipChange returns,
   // if this member leads.
   void MaintainMembership(TimePoint now);
+  // View and Maintenance are the arguments of the decisions in upkeep.h.
+  GroupView View() const;
+  MaintenanceOptions Maintenance() const;
+  // ContinueDeparture takes the next step of a Depart call that is due.
+  void ContinueDeparture(TimePoint now);
+  void EndDeparture(const std::string& reason);
+  // Release proposes, as the leader, what `member` must wait for before it
+  // stops, and returns whether it may stop now.
+  bool Release(const consensus::MemberId& member, TimePoint now);
+  void OnConsensusMessage(const wire::Opened& opened);
+  void OnDepartRequest(const wire::Opened& opened);
+  void OnDepartReply(const wire::Opened& opened);
   // Step passes an event to the consensus algorithm and carries out the actions
   // that it returns.
   void Step(const consensus::Event& event);
@@ -106,6 +126,8 @@
   TimePoint leader_since;
   TimePoint next_maintenance;
   bool change_in_progress = false;  // of a change by MaintainMembership
+  std::map<consensus::MemberId, TimePoint> departing;  // see GroupView
+  std::optional<Departure> departure;
 };
 
 }  // namespace samphirebank::replication
--- a/samphirebank/replication/internal/upkeep.h
+++ b/samphirebank/replication/internal/upkeep.h
@@ -3,8 +3,8 @@
 // Automatic membership changes: selects the next change that the leader of a
 // group should propose. New members are added as learners, the vote of a lost
 // data folder is transferred to the current folder of the same instance, a
-// voter without recent messages is replaced by a live learner, and live
-// learners are promoted while there are too few voters.
+// voter that departs or has no recent messages is replaced by a live learner,
+// and live learners are promoted while there are too few voters.
 //
 // This code only selects a change. Consensus refuses a change that is not safe
 // at the moment, and the leader retries later.
@@ -48,6 +48,10 @@
   // from here at the earliest, so that a new leader first allows every member
   // the time to send a message.
   TimePoint leader_since{};
+  // Whether the membership is committed and no change is in progress.
+  bool is_settled = true;
+  // When each member that departs last asked for permission to stop.
+  const std::map<consensus::MemberId, TimePoint>& departing;
 };
 
 // PlanMembershipChange returns the most urgent change, or nullopt if none is
@@ -55,6 +59,11 @@
 std::optional<consensus::MembershipChange> PlanMembershipChange(
     const GroupView& view, const MaintenanceOptions& options, TimePoint now);
 
+// MayDepart returns whether the process of `member` may stop: the group has
+// settled without its vote, or no live instance could take over its vote.
+bool MayDepart(const GroupView& view, const MaintenanceOptions& options,
+               const consensus::MemberId& member, TimePoint now);
+
 }  // namespace samphirebank::replication
 
 #endif  // SAMPHIREBANK_REPLICATION_INTERNAL_UPKEEP_H_
--- a/samphirebank/replication/member.cc
+++ b/samphirebank/replication/member.cc
@@ -115,7 +115,11 @@
   this->TryBootstrap();
   this->Step(consensus::Tick{});
   this->ExpireProposals(now);
-  this->MaintainMembership(now);
+  if (now >= this->next_maintenance) {
+    this->next_maintenance = now + kMaintenanceInterval;
+    this->MaintainMembership(now);
+  }
+  this->ContinueDeparture(now);
 }
 
 void Member::OpenStorage() {
@@ -278,16 +282,26 @@
   this->Step(consensus::Bootstrap{.voters = std::move(voters)});
 }
 
+GroupView Member::View() const {
+  const auto& current = consensus::CurrentMembership(this->state);
+  return {.membership = current.membership,
+          .self = this->state.options.self,
+          .last_seen = this->last_seen,
+          .leader_since = this->leader_since,
+          .is_settled = !this->change_in_progress &&
+                        current.index <= this->state.commit_index,
+          .departing = this->departing};
+}
+
+MaintenanceOptions Member::Maintenance() const {
+  return {.desired_voters = this->options.desired_voters};
+}
+
 void Member::MaintainMembership(TimePoint now) {
-  if (this->options.desired_voters == 0 || now < this->next_maintenance) return;
-  this->next_maintenance = now + kMaintenanceInterval;
+  if (this->options.desired_voters == 0) return;
   if (!this->leads() || this->change_in_progress) return;
-  const auto change = PlanMembershipChange(
-      {.membership = consensus::CurrentMembership(this->state).membership,
-       .self = this->state.options.self,
-       .last_seen = this->last_seen,
-       .leader_since = this->leader_since},
-      {.desired_voters = this->options.desired_voters}, now);
+  const auto change =
+      PlanMembershipChange(this->View(), this->Maintenance(), now);
   if (!change) return;
   this->change_in_progress = true;
   this->ChangeMembership(*change, [this, change](consensus::Outcome outcome) {
@@ -311,6 +325,19 @@
 }
 
 void Member::OnMessage(const wire::Opened& opened) {
+  switch (opened.packet.kind) {
+    case wire::Kind::kConsensus:
+      return this->OnConsensusMessage(opened);
+    case wire::Kind::kDepartRequest:
+      return this->OnDepartRequest(opened);
+    case wire::Kind::kDepartReply:
+      return this->OnDepartReply(opened);
+    default:
+      return;
+  }
+}
+
+void Member::OnConsensusMessage(const wire::Opened& opened) {
   auto message = wire::leaf::try_handle_all(
       [&]() -> wire::leaf::result<std::optional<consensus::Message>> {
         BOOST_LEAF_AUTO(decoded,
--- a/samphirebank/replication/replication.h
+++ b/samphirebank/replication/replication.h
@@ -100,6 +100,10 @@
   uint64_t storage = 0;
 };
 
+// kDepartureTimeout is below the time that a process has to stop, and enough to
+// elect a leader and to change the membership.
+inline constexpr Duration kDepartureTimeout = std::chrono::seconds(4);
+
 // Replication is the member of the replicated log that runs on this instance.
 class Replication {
  public:
@@ -113,6 +117,10 @@
   // Replace transfers the vote of the data folder that `instance` lost to the
   // instance's current data folder.
   virtual void Replace(const InstanceId& instance, ReplaceDone done) = 0;
+  // Depart prepares for the end of this process: another member takes over its
+  // vote if there is one that can. Calls `done` once, at the latest after
+  // kDepartureTimeout; until then the member takes part as before.
+  virtual void Depart(std::function<void()> done) = 0;
   // OnMessage handles a packet from a peer. It ignores packets that cannot be
   // decoded or that name another sender than the authenticated one.
   virtual void OnMessage(const wire::Opened& opened) = 0;
--- a/samphirebank/replication/upkeep.cc
+++ b/samphirebank/replication/upkeep.cc
@@ -30,6 +30,22 @@
          now - found->second <= options.alive_timeout;
 }
 
+// IsDeparting returns whether a member asked for permission to stop. A member
+// that was restarted since then no longer asks.
+bool IsDeparting(const GroupView& view, const MaintenanceOptions& options,
+                 const MemberId& member, TimePoint now) {
+  const auto found = view.departing.find(member);
+  return found != view.departing.end() &&
+         now - found->second <= options.alive_timeout;
+}
+
+// IsAvailable returns whether a member may be given a part in the group.
+bool IsAvailable(const GroupView& view, const MaintenanceOptions& options,
+                 const MemberId& member, TimePoint now) {
+  return IsAlive(view, options, member, now) &&
+         !IsDeparting(view, options, member, now);
+}
+
 // LastSeenMemberOf returns the current member id of an instance. An instance
 // has one member id for each data folder that it has used; the id whose message
 // was received last belongs to the folder in use.
@@ -43,18 +59,26 @@
   return latest;
 }
 
-// AddLearner adds a live instance that is not yet a member.
-MaybeChange AddLearner(const GroupView& view, const MaintenanceOptions& options,
-                       TimePoint now) {
+// FindNewcomer returns an available instance that is not yet a member.
+std::optional<MemberId> FindNewcomer(const GroupView& view,
+                                     const MaintenanceOptions& options,
+                                     TimePoint now) {
   for (const auto& [member, seen_at] : view.last_seen) {
     if (view.membership.Contains(member)) continue;
-    if (!IsAlive(view, options, member, now)) continue;
-    if (LastSeenMemberOf(view, member.instance) != member) continue;
-    return MembershipChange{.kind = ChangeKind::kAddLearner, .member = member};
+    if (!IsAvailable(view, options, member, now)) continue;
+    if (LastSeenMemberOf(view, member.instance) == member) return member;
   }
   return std::nullopt;
 }
 
+// AddLearner adds an available instance that is not yet a member.
+MaybeChange AddLearner(const GroupView& view, const MaintenanceOptions& options,
+                       TimePoint now) {
+  const auto newcomer = FindNewcomer(view, options, now);
+  if (!newcomer) return std::nullopt;
+  return MembershipChange{.kind = ChangeKind::kAddLearner, .member = *newcomer};
+}
+
 // ReplaceLostFolder transfers the vote of a lost data folder to the current
 // folder of the same instance, once that is a learner.
 MaybeChange ReplaceLostFolder(const GroupView& view,
@@ -64,27 +88,42 @@
     const auto latest = LastSeenMemberOf(view, voter.instance);
     if (!latest || *latest == voter || voter == view.self) continue;
     if (!view.membership.learners.contains(*latest)) continue;
-    if (!IsAlive(view, options, *latest, now)) continue;
+    if (!IsAvailable(view, options, *latest, now)) continue;
     return MembershipChange{
         .kind = ChangeKind::kReplace, .member = voter, .replacement = *latest};
   }
   return std::nullopt;
 }
 
-std::optional<MemberId> FindLiveLearner(const GroupView& view,
-                                        const MaintenanceOptions& options,
-                                        TimePoint now) {
+std::optional<MemberId> FindAvailableLearner(const GroupView& view,
+                                             const MaintenanceOptions& options,
+                                             TimePoint now) {
   for (const MemberId& learner : view.membership.learners) {
-    if (IsAlive(view, options, learner, now)) return learner;
+    if (IsAvailable(view, options, learner, now)) return learner;
   }
   return std::nullopt;
 }
 
-// PromoteLearner makes a live learner a voter: in addition to the others if
-// there are too few voters, else in place of a voter that timed out.
+// ReplaceDepartingVoter transfers the vote of a member that departs to an
+// available learner.
+MaybeChange ReplaceDepartingVoter(const GroupView& view,
+                                  const MaintenanceOptions& options,
+                                  TimePoint now) {
+  const auto learner = FindAvailableLearner(view, options, now);
+  if (!learner) return std::nullopt;
+  for (const MemberId& voter : view.membership.voters) {
+    if (!IsDeparting(view, options, voter, now)) continue;
+    return MembershipChange{
+        .kind = ChangeKind::kReplace, .member = voter, .replacement = *learner};
+  }
+  return std::nullopt;
+}
+
+// PromoteLearner makes an available learner a voter: in addition to the others
+// if there are too few voters, else in place of a voter that timed out.
 MaybeChange PromoteLearner(const GroupView& view,
                            const MaintenanceOptions& options, TimePoint now) {
-  const auto learner = FindLiveLearner(view, options, now);
+  const auto learner = FindAvailableLearner(view, options, now);
   if (!learner) return std::nullopt;
   if (view.membership.voters.size() < options.desired_voters) {
     return MembershipChange{.kind = ChangeKind::kPromote, .member = *learner};
@@ -115,11 +154,19 @@
                                  const MaintenanceOptions& options,
                                  TimePoint now) {
   if (!view.membership.outgoing.empty()) return std::nullopt;
-  for (const auto rule :
-       {ReplaceLostFolder, PromoteLearner, AddLearner, RemoveStaleLearner}) {
+  for (const auto rule : {ReplaceLostFolder, ReplaceDepartingVoter,
+                          PromoteLearner, AddLearner, RemoveStaleLearner}) {
     if (MaybeChange change = rule(view, options, now)) return change;
   }
   return std::nullopt;
 }
 
+bool MayDepart(const GroupView& view, const MaintenanceOptions& options,
+               const MemberId& member, TimePoint now) {
+  if (!view.membership.IsVoter(member)) return view.is_settled;
+  if (!view.membership.outgoing.empty()) return false;
+  return !FindAvailableLearner(view, options, now) &&
+         !FindNewcomer(view, options, now);
+}
+
 }  // namespace samphirebank::replication
--- a/samphirebank/replication/upkeep_test.cc
+++ b/samphirebank/replication/upkeep_test.cc
@@ -26,13 +26,23 @@
   Membership membership{
       .voters = {MakeMember("a"), MakeMember("b"), MakeMember("c")}};
   std::map<MemberId, TimePoint> last_seen{};
-
+  std::map<MemberId, TimePoint> departing{};
+  bool is_settled = true;
+
+  GroupView View() const {
+    return {.membership = this->membership,
+            .self = MakeMember("a"),
+            .last_seen = this->last_seen,
+            .leader_since = kStart,
+            .is_settled = this->is_settled,
+            .departing = this->departing};
+  }
   std::optional<MembershipChange> Plan(TimePoint now) const {
-    return PlanMembershipChange({.membership = this->membership,
-                                 .self = MakeMember("a"),
-                                 .last_seen = this->last_seen,
-                                 .leader_since = kStart},
-                                {.desired_voters = 3}, now);
+    return PlanMembershipChange(this->View(), {.desired_voters = 3}, now);
+  }
+  bool MayDepart(const MemberId& member, TimePoint now) const {
+    return replication::MayDepart(this->View(), {.desired_voters = 3}, member,
+                                  now);
   }
 };
 
@@ -115,5 +125,81 @@
   CHECK_FALSE(group.Plan(kStart));
 }
 
+// MakeGroupWithLearner returns a group with the learner "d", in which all are
+// live at `now`.
+Group MakeGroupWithLearner(TimePoint now) {
+  Group group;
+  group.membership.learners.insert(MakeMember("d"));
+  for (const std::string name : {"b", "c", "d"}) {
+    group.last_seen[MakeMember(name)] = now;
+  }
+  return group;
+}
+
+// Guards against a stopped voter that keeps its vote until it times out: the
+// group then bears no further loss for seconds.
+TEST_CASE("a learner replaces a voter that departs, also the leader, at once") {
+  for (const std::string name : {"a", "b"}) {
+    Group group = MakeGroupWithLearner(kStart);
+    group.departing[MakeMember(name)] = kStart;
+    const auto change = group.Plan(kStart);
+    REQUIRE(change);
+    CHECK(change->kind == ChangeKind::kReplace);
+    CHECK(change->member == MakeMember(name));
+    CHECK(change->replacement == MakeMember("d"));
+  }
+}
+
+TEST_CASE("a voter may stop once the group has settled without its vote") {
+  Group group = MakeGroupWithLearner(kStart);
+  const MemberId leaver = MakeMember("b");
+  group.departing[leaver] = kStart;
+  CHECK_FALSE(group.MayDepart(leaver, kStart));
+  group.membership = {
+      .voters = {MakeMember("a"), MakeMember("c"), MakeMember("d")},
+      .outgoing = {MakeMember("a"), leaver, MakeMember("c")}};
+  group.is_settled = false;
+  CHECK_FALSE(group.MayDepart(leaver, kStart));
+  group.membership.outgoing.clear();
+  CHECK_FALSE(group.MayDepart(leaver, kStart));
+  group.is_settled = true;
+  CHECK(group.MayDepart(leaver, kStart));
+}
+
+TEST_CASE("a voter whose vote nobody can take may stop at once") {
+  Group group = MakeGroupWithLearner(kStart);
+  group.departing[MakeMember("b")] = kStart;
+  const TimePoint learner_is_silent = kStart + seconds(2);
+  group.departing[MakeMember("b")] = learner_is_silent;
+  CHECK(group.MayDepart(MakeMember("b"), learner_is_silent));
+}
+
+TEST_CASE("a voter that departs waits for a newcomer that is not added yet") {
+  Group group = MakeGroupWithLearner(kStart);
+  group.membership.learners.clear();
+  group.departing[MakeMember("b")] = kStart;
+  CHECK_FALSE(group.MayDepart(MakeMember("b"), kStart));
+  const auto change = group.Plan(kStart);
+  REQUIRE(change);
+  CHECK(change->kind == ChangeKind::kAddLearner);
+  CHECK(change->member == MakeMember("d"));
+}
+
+TEST_CASE("a member that departs is given no part in the group") {
+  Group group = MakeGroupWithLearner(kStart);
+  group.departing = {{MakeMember("b"), kStart}, {MakeMember("d"), kStart}};
+  CHECK_FALSE(group.Plan(kStart));
+  CHECK(group.MayDepart(MakeMember("b"), kStart));
+  CHECK(group.MayDepart(MakeMember("d"), kStart));
+  group.membership.learners.clear();
+  CHECK_FALSE(group.Plan(kStart));
+}
+
+TEST_CASE("a member that was restarted does not depart any more") {
+  Group group = MakeGroupWithLearner(kStart + seconds(2));
+  group.departing[MakeMember("b")] = kStart;
+  CHECK_FALSE(group.Plan(kStart + seconds(2)));
+}
+
 }  // namespace
 }  // namespace samphirebank::replication
--- a/samphirebank/soak/fleet.cc
+++ b/samphirebank/soak/fleet.cc
@@ -25,6 +25,12 @@
   return {.name = name, .ip = IpOf(number)};
 }
 
+Node MakeCoordinator(size_t index, size_t number) {
+  Node node = MakeNode("c" + std::to_string(index), number);
+  node.serves = {.ip = node.ip, .port = testing::FreePort()};
+  return node;
+}
+
 }  // namespace
 
 Fleet::Fleet(World& shared) : world(shared) {
@@ -32,9 +38,7 @@
   std::filesystem::remove_all(options.folder);  // of an earlier run
   std::filesystem::create_directories(options.folder);
   for (size_t i = 0; i < options.coordinators; ++i) {
-    Node node = MakeNode("c" + std::to_string(i), i);
-    node.serves = {.ip = node.ip, .port = testing::FreePort()};
-    this->coordinators.push_back(std::move(node));
+    this->coordinators.push_back(MakeCoordinator(i, i));
   }
   for (size_t i = 0; i < options.gateways; ++i) {
     Node node = MakeNode("g" + std::to_string(i), options.coordinators + i);
@@ -107,6 +111,14 @@
   node.is_expected_up = true;
 }
 
+size_t Fleet::AddCoordinator() {
+  const size_t index = this->coordinators.size();
+  this->coordinators.push_back(
+      MakeCoordinator(index, index + this->gateways.size()));
+  this->StartCoordinator(index, false);
+  return index;
+}
+
 void Fleet::Kill(Node& node) {
   node.is_expected_up = false;
   node.is_frozen = false;
--- a/samphirebank/soak/internal/fleet.h
+++ b/samphirebank/soak/internal/fleet.h
@@ -37,6 +37,9 @@
 
   void StartGateway(size_t index);
   void StartCoordinator(size_t index, bool first_start);
+  // AddCoordinator starts one more coordinator with an empty folder and returns
+  // its index.
+  size_t AddCoordinator();
   // Kill ends a process at once, also a frozen one.
   static void Kill(Node& node);
   static void Freeze(Node& node);
--- a/samphirebank/wire/wire.h
+++ b/samphirebank/wire/wire.h
@@ -74,6 +74,8 @@
   kEvidenceReport = 20,   // gateway to coordinator: suspected prompt parts
   kEvidenceShare = 21,    // coordinator to coordinator: its gateways' evidence
   kEvidenceSum = 22,      // coordinator to gateway: the fleet's evidence
+  kDepartRequest = 23,    // member to leader: may this process stop?
+  kDepartReply = 24,      // the answer, once it may
 };
 
 // Packet is an encoded message with its kind.
