A new leader counts the old one's silence from its last message

Cause: the voter timeout (3 s) of every member began with the new leader's election, 1 to 2 s after the old leader's end, since followers exchange no messages before. That is not so of the old leader: it was heard by all.

Change: the leader before is timed from its last message, so its vote moves 3 s after its end. Others are timed as before.

Evidence: replication_test, "a new leader replaces the old one 3 s after its last message", failed without the changed line (1 of 14 cases) and passes with it. Not shown with processes.

--- a/samphirebank/replication/internal/member.h
+++ b/samphirebank/replication/internal/member.h
@@ -94,6 +94,7 @@
   // that it returns.
   void Step(const consensus::Event& event);
   void Perform(consensus::Actions actions);
+  void NoteLeadership(const consensus::LeadershipChange& change);
   void Apply(const std::vector<consensus::Entry>& entries);
   void HandleProposalResponse(const consensus::ProposalResponse& response);
   void ExpireProposals(TimePoint now);
@@ -124,6 +125,7 @@
   bool disk_full = false;
   std::map<consensus::MemberId, TimePoint> last_seen;
   TimePoint leader_since;
+  std::optional<consensus::MemberId> previous_leader;  // other than this member
   TimePoint next_maintenance;
   bool change_in_progress = false;  // of a change by MaintainMembership
   std::map<consensus::MemberId, TimePoint> departing;  // see GroupView
--- a/samphirebank/replication/internal/upkeep.h
+++ b/samphirebank/replication/internal/upkeep.h
@@ -46,8 +46,10 @@
   const std::map<consensus::MemberId, TimePoint>& last_seen;
   // When this member became the leader. Timeouts of voters and learners count
   // from here at the earliest, so that a new leader first allows every member
-  // the time to send a message.
+  // the time to send a message. Not so that of the previous leader, which sent
+  // messages to all members before.
   TimePoint leader_since{};
+  std::optional<consensus::MemberId> previous_leader{};
   // Whether the membership is committed and no change is in progress.
   bool is_settled = true;
   // When each member that departs last asked for permission to stop.
--- a/samphirebank/replication/member.cc
+++ b/samphirebank/replication/member.cc
@@ -178,7 +178,7 @@
   }
   this->Apply(actions.committed);
   if (actions.leadership) {
-    if (actions.leadership->is_self) this->leader_since = Now();
+    this->NoteLeadership(*actions.leadership);
     this->hooks.on_leadership();
   }
   for (const consensus::ProposalResponse& response :
@@ -194,6 +194,14 @@
   }
 }
 
+void Member::NoteLeadership(const consensus::LeadershipChange& change) {
+  if (change.is_self) {
+    this->leader_since = Now();
+  } else if (change.leader) {
+    this->previous_leader = change.leader;
+  }
+}
+
 void Member::Apply(const std::vector<consensus::Entry>& entries) {
   for (const consensus::Entry& entry : entries) {
     this->applied_index = entry.index;
@@ -288,6 +296,7 @@
           .self = this->state.options.self,
           .last_seen = this->last_seen,
           .leader_since = this->leader_since,
+          .previous_leader = this->previous_leader,
           .is_settled = !this->change_in_progress &&
                         current.index <= this->state.commit_index,
           .departing = this->departing};
--- a/samphirebank/replication/upkeep.cc
+++ b/samphirebank/replication/upkeep.cc
@@ -12,15 +12,15 @@
 using MaybeChange = std::optional<MembershipChange>;
 
 // TimeSinceSeen returns the time since the last message from a member, or
-// since this member became the leader if that is later.
+// since this member became the leader if that is later and the member was not
+// the previous leader.
 Duration TimeSinceSeen(const GroupView& view, const MemberId& member,
                        TimePoint now) {
   if (member == view.self) return Duration::zero();
   const auto found = view.last_seen.find(member);
-  const TimePoint since = found == view.last_seen.end()
-                              ? view.leader_since
-                              : std::max(found->second, view.leader_since);
-  return now - since;
+  if (found == view.last_seen.end()) return now - view.leader_since;
+  if (member == view.previous_leader) return now - found->second;
+  return now - std::max(found->second, view.leader_since);
 }
 
 bool IsAlive(const GroupView& view, const MaintenanceOptions& options,
--- a/samphirebank/replication/upkeep_test.cc
+++ b/samphirebank/replication/upkeep_test.cc
@@ -28,12 +28,14 @@
   std::map<MemberId, TimePoint> last_seen{};
   std::map<MemberId, TimePoint> departing{};
   bool is_settled = true;
+  std::optional<MemberId> previous_leader{};
 
   GroupView View() const {
     return {.membership = this->membership,
             .self = MakeMember("a"),
             .last_seen = this->last_seen,
             .leader_since = kStart,
+            .previous_leader = this->previous_leader,
             .is_settled = this->is_settled,
             .departing = this->departing};
   }
@@ -195,6 +197,22 @@
   CHECK_FALSE(group.Plan(kStart));
 }
 
+// Guards against a leader that was killed and never comes back, whose vote
+// counted until the voter timeout had passed since the election.
+TEST_CASE("a new leader replaces the old one 3 s after its last message") {
+  const TimePoint now = kStart + seconds(1);
+  Group group = MakeGroupWithLearner(now);
+  group.previous_leader = MakeMember("c");
+  group.last_seen[MakeMember("c")] = now - seconds(2);
+  CHECK_FALSE(group.Plan(now));
+  group.last_seen[MakeMember("c")] = now - seconds(3);
+  const auto change = group.Plan(now);
+  REQUIRE(change);
+  CHECK(change->kind == ChangeKind::kReplace);
+  CHECK(change->member == MakeMember("c"));
+  CHECK(change->replacement == MakeMember("d"));
+}
+
 TEST_CASE("a member that was restarted does not depart any more") {
   Group group = MakeGroupWithLearner(kStart + seconds(2));
   group.departing[MakeMember("b")] = kStart;
