The learner with the most of the log takes a vote

What callers would see: a vote is due to move, and it doesn't, though a learner has everything: the change is refused as "not caught up" for as long as another learner, before it by name, is heard but takes no entries (full or stalled disk).

Change: the leader's match indexes are part of its view, and the available learner with the highest one is chosen.

--- a/samphirebank/replication/internal/upkeep.h
+++ b/samphirebank/replication/internal/upkeep.h
@@ -50,6 +50,8 @@
   // messages to all members before.
   TimePoint leader_since{};
   std::optional<consensus::MemberId> previous_leader{};
+  // Up to where each member is known to have the log; others have nothing.
+  std::map<consensus::MemberId, LogIndex> match_indexes{};
   // Whether the membership is committed and no change is in progress.
   bool is_settled = true;
   // When each member that departs last asked for permission to stop.
--- a/samphirebank/replication/member.cc
+++ b/samphirebank/replication/member.cc
@@ -292,11 +292,16 @@
 
 GroupView Member::View() const {
   const auto& current = consensus::CurrentMembership(this->state);
+  std::map<MemberId, LogIndex> match_indexes;
+  for (const auto& [member, progress] : this->state.progress) {
+    match_indexes[member] = progress.match_index;
+  }
   return {.membership = current.membership,
           .self = this->state.options.self,
           .last_seen = this->last_seen,
           .leader_since = this->leader_since,
           .previous_leader = this->previous_leader,
+          .match_indexes = std::move(match_indexes),
           .is_settled = !this->change_in_progress &&
                         current.index <= this->state.commit_index,
           .departing = this->departing};
--- a/samphirebank/replication/upkeep.cc
+++ b/samphirebank/replication/upkeep.cc
@@ -95,13 +95,23 @@
   return std::nullopt;
 }
 
+// FindAvailableLearner returns the available learner that has the most of the
+// log.
 std::optional<MemberId> FindAvailableLearner(const GroupView& view,
                                              const MaintenanceOptions& options,
                                              TimePoint now) {
+  std::optional<MemberId> best;
+  LogIndex best_index;
   for (const MemberId& learner : view.membership.learners) {
-    if (IsAvailable(view, options, learner, now)) return learner;
+    if (!IsAvailable(view, options, learner, now)) continue;
+    const auto found = view.match_indexes.find(learner);
+    const LogIndex index =
+        found == view.match_indexes.end() ? LogIndex() : found->second;
+    if (best && index <= best_index) continue;
+    best = learner;
+    best_index = index;
   }
-  return std::nullopt;
+  return best;
 }
 
 // ReplaceDepartingVoter transfers the vote of a member that departs to an
--- a/samphirebank/replication/upkeep_test.cc
+++ b/samphirebank/replication/upkeep_test.cc
@@ -27,6 +27,7 @@
       .voters = {MakeMember("a"), MakeMember("b"), MakeMember("c")}};
   std::map<MemberId, TimePoint> last_seen{};
   std::map<MemberId, TimePoint> departing{};
+  std::map<MemberId, LogIndex> match_indexes{};
   bool is_settled = true;
   std::optional<MemberId> previous_leader{};
 
@@ -36,6 +37,7 @@
             .last_seen = this->last_seen,
             .leader_since = kStart,
             .previous_leader = this->previous_leader,
+            .match_indexes = this->match_indexes,
             .is_settled = this->is_settled,
             .departing = this->departing};
   }
@@ -213,6 +215,20 @@
   CHECK(change->replacement == MakeMember("d"));
 }
 
+// Guards against a learner with a full or stalled disk that keeps a vote from a
+// learner that has caught up.
+TEST_CASE("the learner with the most of the log takes a vote") {
+  Group group = MakeGroupWithLearner(kStart);
+  group.membership.learners.insert(MakeMember("e"));
+  group.last_seen[MakeMember("e")] = kStart;
+  group.match_indexes = {{MakeMember("d"), LogIndex(3)},
+                         {MakeMember("e"), LogIndex(900)}};
+  group.departing[MakeMember("b")] = kStart;
+  const auto change = group.Plan(kStart);
+  REQUIRE(change);
+  CHECK(change->replacement == MakeMember("e"));
+}
+
 TEST_CASE("a member that was restarted does not depart any more") {
   Group group = MakeGroupWithLearner(kStart + seconds(2));
   group.departing[MakeMember("b")] = kStart;
