A shutdown gives every request its final answer

What callers saw: a request that came up to 2.8 s after SIGTERM, or before it, and whose time limit is longer than what is left of the grace period, was passed on; 0.3 s before the end of the grace period the gateway ended and closed its connection without an answer, also where the request may not be repeated.

Cause: StepShutdown ended the process at that time whatever still ran. It looked at sessions only, so what a closed session's connection still had to send was dropped as well.

Change: drain/ decides what is due: 0.8 s before the end of the grace period each request in progress gets its final answer (504, unknown, if it was sent; 503, not run, if not; a stream that has begun is broken off and can be resumed), and the process waits until nothing is left to send. A grace period shorter than the time that balancers need is served alike.

Considered and not taken: refusing requests at once whose time limit passes the end. Nearly all end long before their limit, and the caller would pay a retry for each.

--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -215,15 +215,25 @@
 }
 
 void Exchange::OnLimit() {
+  this->EndUnanswered("time limit", dispatch::HealthResult::kFailure);
+}
+
+void Exchange::OnShutdown() {
+  if (this->ended) return;
+  this->EndUnanswered("this instance shuts down",
+                      dispatch::HealthResult::kIgnored);
+}
+
+void Exchange::EndUnanswered(const std::string& reason,
+                             dispatch::HealthResult target_result) {
   const bool sent = this->sending && this->sending->connection != nullptr;
   if (sent) this->progress.may_have_run = true;
   if (this->sending) {
-    this->EndSending(sent ? dispatch::HealthResult::kFailure
-                          : dispatch::HealthResult::kIgnored);
+    this->EndSending(sent ? target_result : dispatch::HealthResult::kIgnored);
   }
-  if (this->progress.response_started) return this->Cut("time limit");
-  if (!this->progress.may_have_run) return this->RefuseForNow("time limit");
-  this->FailUnknown(504, "time limit");
+  if (this->progress.response_started) return this->Cut(reason);
+  if (!this->progress.may_have_run) return this->RefuseForNow(reason);
+  this->FailUnknown(504, reason);
 }
 
 void Exchange::CallerLeft() {
--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -37,6 +37,8 @@
   // OnQuarantine ends the work at the target if the prompt has a part that was
   // quarantined meanwhile and the answer has not begun.
   void OnQuarantine();
+  // OnShutdown gives the caller the final answer, because the process ends.
+  void OnShutdown();
 
  private:
   // Sending is one send to a target, from its choice to its end.
@@ -66,6 +68,10 @@
   bool StopIfQuarantined();
   void StartLimit();
   void OnLimit();
+  // EndUnanswered ends a request without waiting for its target any longer;
+  // `target_result` is recorded for a target to which it was sent.
+  void EndUnanswered(const std::string& reason,
+                     dispatch::HealthResult target_result);
 
   // Sending.
   void SendToTarget();
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -21,6 +21,7 @@
 #include "samphirebank/dialect/dialect.h"
 #include "samphirebank/directory/directory.h"
 #include "samphirebank/dispatch/dispatch.h"
+#include "samphirebank/drain/drain.h"
 #include "samphirebank/fleetload/fleetload.h"
 #include "samphirebank/follow/follow.h"
 #include "samphirebank/forwarding/forwarding.h"
@@ -76,11 +77,11 @@
     return this->table;
   }
   routes::CallerLimits limits() const;
-  bool draining() const { return this->is_draining; }
+  bool draining() const { return this->shutdown_at.has_value(); }
   // takes_callers says whether the balancer may send new connections. Those
   // that are open stay: their callers would all go to one other instance.
   bool takes_callers() const {
-    return this->table != nullptr && !this->is_draining &&
+    return this->table != nullptr && !this->draining() &&
            !this->rotation.is_out;
   }
   // KeepsCaller says whether a connection is kept after the answer that begins
@@ -100,8 +101,8 @@
   // IsLate says whether what is read now may have waited in the kernel for
   // long.
   bool IsLate(TimePoint now) const;
-  // takes_requests says whether a request that is read now has time to end
-  // before the process has to.
+  // takes_requests says whether a request that is read now is accepted, or
+  // comes too late in a shutdown.
   bool takes_requests(TimePoint now) const;
   dispatch::TargetTracker& book() { return this->targets_book; }
   TargetPool& pool() { return this->connections; }
@@ -185,7 +186,11 @@
   net::SocketAddress PeerAddress(const InstanceId& instance) const;
   dispatch::Distance DistanceTo(const ZoneId& zone) const;
   forwarding::BudgetOptions BudgetOptions() const;
-  void StepShutdown();
+  drain::Options DrainOptions() const;
+  // IsIdle returns whether no connection of a caller is open for a request or
+  // has bytes to send.
+  bool IsIdle();
+  void StepShutdown(TimePoint now);
   web::Answer MetricsText();
 
   boost::asio::io_context& event_loop;
@@ -226,9 +231,10 @@
   process::BusyClock busy;
   size_t exchanges = 0;  // requests that are not answered to their end
   uint64_t answers_begun = 0;
-  bool is_draining = false;
-  TimePoint shutdown_at;
+  std::optional<TimePoint> shutdown_at;  // when it began
   std::function<void()> shutdown_done;
+  // Connections that may still have to send the end of a response.
+  std::vector<std::weak_ptr<web::Connection>> closing;
   Metrics metrics;
 };
 
--- a/samphirebank/gateway/internal/session.h
+++ b/samphirebank/gateway/internal/session.h
@@ -28,6 +28,12 @@
   void CloseIfIdle();
   // OnQuarantine lets the running request look at the quarantined parts.
   void OnQuarantine();
+  // OnShutdown gives the running request its final answer, and closes the
+  // connection unless a request is being read.
+  void OnShutdown();
+  std::weak_ptr<web::Connection> connection_handle() const {
+    return this->connection;
+  }
   bool answering() const { return this->exchange != nullptr; }
 
   // The exchange answers by either Reply, or BeginChunks, any number of
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -20,10 +20,6 @@
 
 constexpr Duration kTimerPeriod = milliseconds(100);
 constexpr Duration kControlSilence = std::chrono::seconds(3);
-// The balancer asks once a second and takes an instance out after two misses.
-constexpr Duration kLeavesRotation = milliseconds(3000);
-// Requests that come later may not end before the process is killed.
-constexpr Duration kTakesRequests = milliseconds(2800);
 // Kept for closing connections before the process is killed.
 constexpr size_t kMostKeptSessions = 1000;
 // Above it, idle callers' connections are closed, so that descriptors are left
@@ -31,7 +27,6 @@
 constexpr size_t kMostSessions = 1800;
 // Callers' connections that are read at all.
 constexpr size_t kMaxSessions = 2000;
-constexpr Duration kShutdownMargin = milliseconds(300);
 
 follow::Options FollowOptions(const settings::GatewaySettings& settings) {
   follow::Options options{.zone = settings.identity.zone,
@@ -168,7 +163,7 @@
   this->connections.Sweep(now);
   dispatch::EvictStaleEntries(this->targets_book, now);
   events::Flush();
-  if (this->is_draining) this->StepShutdown();
+  this->StepShutdown(now);
 }
 
 void Server::WatchControl(TimePoint now) {
@@ -281,12 +276,12 @@
 }
 
 void Server::Forget(Session& session) {
+  if (this->draining()) this->closing.push_back(session.connection_handle());
   this->sessions.erase(session.shared_from_this());
 }
 
 void Server::BeginShutdown(std::function<void()> done) {
-  if (this->is_draining) return;
-  this->is_draining = true;
+  if (this->draining()) return;
   this->shutdown_at = Now();
   this->shutdown_done = std::move(done);
   events::Log({.number = Number::kShutdownStarted,
@@ -294,7 +289,7 @@
 }
 
 bool Server::KeepsCaller(TimePoint now) {
-  if (this->is_draining || this->sessions.size() >= kMostKeptSessions) {
+  if (this->draining() || this->sessions.size() >= kMostKeptSessions) {
     return false;
   }
   return !rotation::ShouldEndConnection(this->rotation, this->answers_begun++,
@@ -310,17 +305,38 @@
 }
 
 bool Server::takes_requests(TimePoint now) const {
-  return !this->is_draining || now - this->shutdown_at < kTakesRequests;
+  return !this->shutdown_at ||
+         drain::ShouldAccept(this->DrainOptions(), now - *this->shutdown_at);
 }
 
-void Server::StepShutdown() {
-  const Duration since = Now() - this->shutdown_at;
-  if (since < kLeavesRotation) return;
+drain::Options Server::DrainOptions() const {
+  return {.grace_period = this->settings.grace};
+}
+
+bool Server::IsIdle() {
+  std::erase_if(this->closing, [](const auto& handle) {
+    const auto connection = handle.lock();
+    return connection == nullptr || connection->queued() == 0;
+  });
+  return this->sessions.empty() && this->closing.empty();
+}
+
+void Server::StepShutdown(TimePoint now) {
+  if (!this->shutdown_at) return;
   const auto open = this->sessions;  // closing changes the set
-  for (const std::shared_ptr<Session>& session : open) session->CloseIfIdle();
-  const bool late = since >= this->settings.grace - kShutdownMargin;
-  if (!this->sessions.empty() && !late) return;
-  if (this->shutdown_done) std::exchange(this->shutdown_done, {})();
+  switch (drain::NextStep(this->DrainOptions(), now - *this->shutdown_at,
+                          this->IsIdle())) {
+    case drain::Step::kServe:
+      return;
+    case drain::Step::kCloseIdle:
+      for (const auto& session : open) session->CloseIfIdle();
+      return;
+    case drain::Step::kRespondAll:
+      for (const auto& session : open) session->OnShutdown();
+      return;
+    case drain::Step::kExit:
+      if (this->shutdown_done) std::exchange(this->shutdown_done, {})();
+  }
 }
 
 }  // namespace samphirebank::gateway
--- a/samphirebank/gateway/session.cc
+++ b/samphirebank/gateway/session.cc
@@ -114,6 +114,12 @@
   if (running != nullptr) running->OnQuarantine();
 }
 
+void Session::OnShutdown() {
+  const std::shared_ptr<Exchange> running = this->exchange;
+  if (running == nullptr) return this->CloseIfIdle();
+  running->OnShutdown();
+}
+
 bool Session::KeepsAlive() {
   return this->keep_alive && this->server.KeepsCaller(process::Now());
 }
