Requests without end are bounded, and so is what is sent ahead

Cause: AnswerReader bounds what its parser cannot use yet, RequestReader did not; gateways pause a connection that sends far ahead, the small server (coordinators' orders, readiness and metrics of both roles) did not.

Change: both readers share the bound; the small server pauses such a connection until the request is answered. Answers of targets were bounded already (gateway_test, three cases). Routers and control instances refuse chunked requests, bound a body, and libwebsockets bounds heads.

--- a/samphirebank/net/net_test.cc
+++ b/samphirebank/net/net_test.cc
@@ -175,6 +175,23 @@
   }
 }
 
+// Guards against an answer whose head breaks off and that is taken for a whole
+// one with an empty or short body.
+TEST_CASE("an answer whose head breaks off anywhere is not whole") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nx-a: b\r\ncontent-length: 10\r\n\r\n";
+  for (size_t size = 0; size < head.size(); ++size) {
+    CAPTURE(size);
+    Loop loop;
+    Answer answer;
+    loop.Call(Recording(loop, answer, ServeOnce(head.substr(0, size))));
+    RunLimited(loop);
+    CHECK_FALSE(answer.whole);
+    CHECK(answer.failed);
+    CHECK(answer.status == 0);
+  }
+}
+
 TEST_CASE("a refused connection is known as not sent") {
   Loop loop;
   Answer answer;
--- a/samphirebank/web/readers.cc
+++ b/samphirebank/web/readers.cc
@@ -50,10 +50,20 @@
   return ReadState::kWhole;
 }
 
+// BoundRest returns `state`, or kMalformed if the parser needs more than
+// `max_rest` bytes to go on. It bounds a head, but neither the line before a
+// chunk nor the trailer fields.
+ReadState BoundRest(ReadState state, const std::string& rest,
+                    uint64_t max_rest) {
+  const bool is_endless = state == ReadState::kMore && rest.size() > max_rest;
+  return is_endless ? ReadState::kMalformed : state;
+}
+
 }  // namespace
 
 struct RequestReader::Impl {
   http::request_parser<http::string_body> parser;
+  uint64_t max_rest = 0;
 };
 
 RequestReader::RequestReader(ReadLimits limits)
@@ -62,12 +72,14 @@
   this->impl->parser.header_limit(static_cast<uint32_t>(std::min<uint64_t>(
       limits.head_bytes, std::numeric_limits<uint32_t>::max())));
   this->impl->parser.body_limit(limits.body_bytes);
+  this->impl->max_rest = limits.head_bytes;
 }
 
 RequestReader::~RequestReader() = default;
 
 ReadState RequestReader::Feed(std::string* input) {
-  return FeedParser(this->impl->parser, input);
+  const ReadState state = FeedParser(this->impl->parser, input);
+  return BoundRest(state, *input, this->impl->max_rest);
 }
 
 bool RequestReader::head_done() const {
@@ -107,10 +119,7 @@
 
 ReadState AnswerReader::Feed(std::string* input) {
   const ReadState state = FeedParser(this->impl->parser, input);
-  // The parser bounds a head, but not the line before a chunk.
-  const bool is_endless =
-      state == ReadState::kMore && input->size() > kAnswerHeadBytes;
-  return is_endless ? ReadState::kMalformed : state;
+  return BoundRest(state, *input, kAnswerHeadBytes);
 }
 
 ReadState AnswerReader::FeedEnd() {
--- a/samphirebank/web/server.cc
+++ b/samphirebank/web/server.cc
@@ -8,6 +8,9 @@
 
 using boost::system::error_code;
 
+// What a caller may send ahead while its request is answered.
+constexpr size_t kMaxAhead = 256 << 10;
+
 // Session is one connection of the small server.
 class Session : public std::enable_shared_from_this<Session> {
  public:
@@ -33,7 +36,7 @@
   }
 
   void OnData() {
-    if (this->answering) return;
+    if (this->answering) return this->BoundAhead();
     const ReadState state = this->reader->Feed(&this->connection->input());
     if (state == ReadState::kMore) {
       if (!this->reader->wants_continue()) return;
@@ -43,6 +46,10 @@
     this->Answer(this->reader->Take());
   }
 
+  void BoundAhead() {
+    if (this->connection->input().size() > kMaxAhead) this->connection->Pause();
+  }
+
   void Refuse(ReadState state) {
     int status = 400;
     if (state == ReadState::kHeadTooLarge) status = 431;
@@ -64,6 +71,7 @@
 
   void NextRequest() {
     this->answering = false;
+    this->connection->Resume();
     this->reader = std::make_unique<RequestReader>(this->options.limits);
     this->RestartTimer();
     if (!this->connection->input().empty()) this->OnData();
--- a/samphirebank/web/web_test.cc
+++ b/samphirebank/web/web_test.cc
@@ -77,6 +77,64 @@
                 limits) == ReadState::kBodyTooLarge);
 }
 
+// Guards against a request that has no end and is kept until memory runs out.
+TEST_CASE("a request without end is refused before it takes much memory") {
+  constexpr size_t kMaxHeld = 256 << 10;
+  const std::string chunked =
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> beginnings_and_pieces =
+      {{"", "\r\n"},
+       {"POST ", "x"},
+       {"POST / HTTP/1.1\r\n", "X: y\r\n"},
+       {chunked, "0"},
+       {chunked + "5;", "x"},
+       {chunked + "0\r\n", "X: y\r\n"},
+       {chunked + "0\r\nX: ", "y"}};
+  for (const auto& [beginning, piece] : beginnings_and_pieces) {
+    CAPTURE(beginning);
+    RequestReader reader({.head_bytes = 16 << 10, .body_bytes = 1 << 20});
+    std::string input = beginning;
+    ReadState state = ReadState::kMore;
+    size_t fed = input.size();
+    while (state == ReadState::kMore && fed < 2 * kMaxHeld) {
+      for (int i = 0; i < 1000; ++i) input += piece;
+      fed += 1000 * piece.size();
+      state = reader.Feed(&input);
+    }
+    CHECK(state != ReadState::kMore);
+    CHECK(state != ReadState::kWhole);
+    CHECK(input.size() <= kMaxHeld);
+  }
+}
+
+// Guards against a caller that goes on sending while its request is handled.
+TEST_CASE("a server reads little ahead of a request that is being handled") {
+  constexpr size_t kFlood = 64 << 20;
+  constexpr size_t kMaxTaken = 32 << 20;  // most of it by the kernel
+  asio::io_context loop{1};
+  const net::SocketAddress address{.ip = "127.0.0.1", .port = 11191};
+  bool is_handled = false;
+  const Server server(
+      loop, ServerOptions{.address = address,
+                          .on_request = [&](const Request&, const Reply&) {
+                            is_handled = true;
+                          }});
+  std::shared_ptr<Connection> caller;
+  Connect(loop, address, std::chrono::seconds(5),
+          [&](std::shared_ptr<Connection> connected, ConnectEnd) {
+            caller = std::move(connected);
+            caller->Start([] {}, [](End) {});
+            caller->Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+          });
+  const auto run = [&] { loop.run_for(std::chrono::milliseconds(300)); };
+  run();
+  REQUIRE(is_handled);
+  caller->Send(std::string(kFlood, 'x'));
+  run();
+  run();
+  CHECK(kFlood - caller->queued() < kMaxTaken);
+}
+
 TEST_CASE("a sender that waits for a 100 is noticed") {
   RequestReader reader({});
   std::string input =
@@ -110,6 +168,23 @@
   CHECK(silent.FeedEnd() == ReadState::kMalformed);
 }
 
+// Guards against an answer whose head breaks off and that is taken for a whole
+// one with an empty or short body.
+TEST_CASE("an answer whose head breaks off anywhere is not whole") {
+  for (const std::string framing :
+       {"Content-Length: 10\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+    const std::string head = "HTTP/1.1 200 OK\r\nX-A: b\r\n" + framing + "\r\n";
+    for (size_t size = 0; size < head.size(); ++size) {
+      CAPTURE(size);
+      AnswerReader reader;
+      std::string input = head.substr(0, size);
+      CHECK(reader.Feed(&input) == ReadState::kMore);
+      CHECK_FALSE(reader.head_done());
+      CHECK(reader.FeedEnd() == ReadState::kMalformed);
+    }
+  }
+}
+
 TEST_CASE("pieces of a body come out as they come in") {
   AnswerReader reader;
   std::string input = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nab";
