A prompt's own part can be quarantined too

Cause: evidence was kept on the shared parts of a prompt only. Here the deadly content is in the prompt's own part.

Change: the last part of a prompt is a part like the others.

--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -144,8 +144,8 @@
   const uint64_t seed = SeedOf(this->call);
   this->service = routes::PickService(*this->route, seed);
   this->work = dispatch::MakeRequestProfile(this->call.prompt, seed);
-  for (const dialect::PromptPart& part : this->work.shared) {
-    this->shared_parts.emplace_back(part.id);
+  for (const dialect::PromptPart& part : this->call.prompt.parts) {
+    this->prompt_parts.emplace_back(part.id);
   }
   this->progress.repetition = this->route->retry_policy;
   this->progress.max_attempts =
@@ -168,7 +168,7 @@
 
 // StopIfQuarantined ends a request that has a prompt part in quarantine.
 bool Exchange::StopIfQuarantined() {
-  const auto left = this->server.QuarantineLeft(this->shared_parts, Now());
+  const auto left = this->server.QuarantineLeft(this->prompt_parts, Now());
   if (!left) return false;
   if (this->sending) this->EndSending(dispatch::HealthResult::kIgnored);
   const std::string reason = "a part of the prompt makes targets crash";
--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -122,7 +122,7 @@
   ServiceId service;
   OrganisationId organisation;
   dispatch::RequestProfile work;
-  std::vector<quarantine::PartId> shared_parts;  // of the prompt
+  std::vector<quarantine::PartId> prompt_parts;  // in order, its own last
   forwarding::Progress progress;
   forwarding::EventStream stream;
   std::optional<Sending> sending;
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -42,11 +42,11 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-// PartsText names the shared parts of a prompt, as callers do.
+// PartsText names the parts of a prompt, as callers do; the last is its own.
 std::string PartsText(const std::vector<dialect::PromptPart>& parts) {
   if (parts.empty()) return "";
   std::ostringstream text;
-  text << ", shared parts" << std::hex;
+  text << ", parts" << std::hex;
   for (const dialect::PromptPart& part : parts) text << ' ' << part.id;
   return text.str();
 }
@@ -297,7 +297,7 @@
 
 void Exchange::NoteBegun() {
   if (std::exchange(this->sending->has_begun, true)) return;
-  this->server.NoteBegun(this->shared_parts);
+  this->server.NoteBegun(this->prompt_parts);
 }
 
 void Exchange::NoteBrokenOff(web::End end) {
@@ -308,12 +308,12 @@
   event.bytes = Bytes(this->bytes_passed);
   event.reason = end == web::End::kClosed ? "closed" : "broken";
   event.detail = (current.has_begun ? "answer had begun" : "no answer yet") +
-                 PartsText(this->work.shared);
+                 PartsText(this->call.prompt.parts);
   events::Log(event);
   this->server.NoteBrokenOff(current.has_begun);
   if (!current.has_begun) {
     this->server.NoteCrash(
-        this->shared_parts,
+        this->prompt_parts,
         quarantine::HashRun(current.target, current.run_started_at_ms));
   }
 }
@@ -382,7 +382,7 @@
 void Exchange::Continue(SendResult end) {
   const TimePoint now = Now();
   const bool may_end_another = end == SendResult::kIncomplete &&
-                               this->server.IsSuspect(this->shared_parts, now);
+                               this->server.IsSuspect(this->prompt_parts, now);
   const bool may_repeat =
       !may_end_another && this->server.MayRepeat(this->service, now) &&
       this->server.HasOtherTarget(this->service, this->work.tried_targets, now);
--- a/samphirebank/quarantine/quarantine_test.cc
+++ b/samphirebank/quarantine/quarantine_test.cc
@@ -39,6 +39,8 @@
   size_t parts_in_use = 200;               // of all organisations' second parts
   Duration mean_wait = milliseconds(300);  // at a target, before the answer
   Duration recovery = milliseconds(3300);  // until a target is back
+  // The deadly part is one prompt's own, whose other parts are sound.
+  bool is_own_part_deadly = false;
 };
 
 // Prompt is a request that waits at a target.
@@ -154,6 +156,10 @@
         std::exponential_distribution<double>(1.0 / mean)(this->random)));
   }
 
+  static bool IsDeadly(const Prompt& prompt) {
+    return std::ranges::count(prompt.parts, kDeadly) > 0;
+  }
+
   // Arrive lets requests come. A deadly prompt has the first part of some
   // organisation, whose sound prompts have it too.
   void Arrive(double per_s, bool deadly) {
@@ -162,10 +168,12 @@
     for (int i = 0; i < count; ++i) {
       const size_t organisation = this->Draw(this->scenario.organisations);
       const PartId first(1 + organisation);
-      const PartId second =
-          deadly ? kDeadly
-                 : PartId(1000 + this->Draw(this->scenario.parts_in_use));
-      const Prompt prompt{.parts = {first, second},
+      const PartId shared(1000 + this->Draw(this->scenario.parts_in_use));
+      const PartId own(1'000'000 + this->next_own_part++);
+      const bool is_own_deadly = deadly && this->scenario.is_own_part_deadly;
+      const bool is_shared_deadly = deadly && !is_own_deadly;
+      const Prompt prompt{.parts = {first, is_shared_deadly ? kDeadly : shared,
+                                    is_own_deadly ? kDeadly : own},
                           .gateway = this->Draw(this->gateways.size())};
       const auto refused = TimeLeft(this->gateways[prompt.gateway].quarantine,
                                     prompt.parts, this->now);
@@ -175,14 +183,13 @@
   }
 
   void Send(Prompt prompt) {
-    const bool deadly = prompt.parts[1] == kDeadly;
     if (TimeLeft(this->gateways[prompt.gateway].quarantine, prompt.parts,
                  this->now)) {
       return;
     }
     prompt.target = this->Draw(this->targets.size());
     if (this->now < this->targets[prompt.target].back_at) return;
-    if (deadly) this->deadly_sends.push_back(this->now);
+    if (IsDeadly(prompt)) this->deadly_sends.push_back(this->now);
     prompt.begins_at = this->now + this->Wait();
     this->waiting.push_back(prompt);
   }
@@ -191,7 +198,7 @@
     for (size_t i = 0; i < this->waiting.size(); ++i) {
       const Prompt prompt = this->waiting[i];
       if (prompt.begins_at > this->now) continue;
-      if (prompt.parts[1] == kDeadly) {
+      if (IsDeadly(prompt)) {
         this->crashes.push_back(this->now);
         this->EndTarget(prompt.target);
         return;  // the rest of this step's in the next one
@@ -259,6 +266,7 @@
   }
 
   std::mt19937_64 random{20261205};
+  uint64_t next_own_part = 0;
   std::vector<Prompt> waiting;
   std::deque<Message> messages;
 };
@@ -288,6 +296,10 @@
   PlayDeadlyPart({}, seconds(4));
 }
 
+TEST_CASE("a deadly prompt whose shared parts are sound is quarantined") {
+  PlayDeadlyPart({.deadly_per_s = 1, .is_own_part_deadly = true}, seconds(4));
+}
+
 TEST_CASE("a deadly part that comes seldom is quarantined") {
   PlayDeadlyPart({.deadly_per_s = 0.5}, seconds(4));
 }
