Coordinators, control instances and routers answer before they end

What callers saw: an operator whose change was in progress when its coordinator or control instance got SIGTERM got no response and could not know whether it was made; a caller whose request came in the last 0.2 s of a router's shutdown was cut within its answer.

Cause: coordinators and control instances stopped their loop at once. A router ended what still ran and stopped 0.2 s later, and took requests meanwhile.

Change: a coordinator ends once its orders have their answers (after 2.5 s at the latest: a proposal is decided within 2 s), a control instance once its calls have (5 s: a change that a caller waits for is in force by then); a router that has ended what ran refuses what comes as not run.

--- a/samphirebank/control/control.cc
+++ b/samphirebank/control/control.cc
@@ -17,8 +17,8 @@
   try {
     net::Loop loop;
     Server server(loop, settings);
-    loop.OnSignal(SIGTERM, [&loop] { loop.Stop(); });
-    loop.OnSignal(SIGINT, [&loop] { loop.Stop(); });
+    loop.OnSignal(SIGTERM, [&server] { server.Stop(); });
+    loop.OnSignal(SIGINT, [&server] { server.Stop(); });
     loop.Run();
     events::Log({.number = events::Number::kProcessStopped});
     events::Close();
--- a/samphirebank/control/internal/server.h
+++ b/samphirebank/control/internal/server.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "samphirebank/assignment/assignment.h"
 #include "samphirebank/control/internal/in_force.h"
@@ -33,6 +34,10 @@
   // cannot be used.
   Server(net::Loop& event_loop, const settings::ControlSettings& given);
 
+  // Stop ends the loop once all operator calls have their responses, at the
+  // latest after some seconds. Until then the instance serves as before.
+  void Stop();
+
   // failed says whether the instance had to stop.
   bool failed() const { return this->has_failed; }
 
@@ -78,6 +83,7 @@
   void OnRequest(const std::shared_ptr<net::ServerStream>& stream);
   void Handle(const std::shared_ptr<net::ServerStream>& stream,
               const std::string& body);
+  void StepStop();
   net::Response MetricsText();
   net::Response Ready() const;
   void Write(const std::shared_ptr<net::ServerStream>& stream,
@@ -109,6 +115,9 @@
   TimePoint last_claim;  // this leader's newest claims entry
   uint64_t own_changes = 0;
   bool has_failed = false;
+  // Calls that may not have their response yet.
+  std::vector<std::weak_ptr<net::ServerStream>> open_calls;
+  std::optional<TimePoint> stop_deadline;  // set by Stop
   Metrics metrics;
 };
 
--- a/samphirebank/control/process_test.cc
+++ b/samphirebank/control/process_test.cc
@@ -77,6 +77,24 @@
   group.CheckContracts(kChanges);
 }
 
+// Guards against an accepted change whose operator gets no response because the
+// instance is asked to stop.
+TEST_CASE("a leader that is asked to stop answers its operators first") {
+  ControlGroup group(SAMPHIREBANK_BINARY);
+  CHECK(group.Ask(PutContract(0, "first")).status == 200);
+  ControlInstance& leader = group.Leader();
+  OperatorRequest waits = PutContract(1, "org");
+  waits.path += "?wait=in-force";
+  const int connection = leader.Begin(waits);
+  REQUIRE(testing::WaitUntil(
+      [&] { return group.Ask({.path = "contracts/org"}).status == 200; }));
+  leader.process->Signal(SIGTERM);
+  const Reply reply = End(connection);
+  CHECK(reply.status == 200);
+  CHECK(reply.whole);
+  CHECK(leader.process->Wait() == 0);
+}
+
 TEST_CASE("a leader stopped for longer than its lease does not lead on") {
   ControlGroup group(SAMPHIREBANK_BINARY);
   CHECK(group.Ask(PutContract(1, "org1")).status == 200);
--- a/samphirebank/control/server_operators.cc
+++ b/samphirebank/control/server_operators.cc
@@ -12,6 +12,10 @@
 
 using Stream = std::shared_ptr<net::ServerStream>;
 
+// Above the time until a change that a caller waits for is in force.
+constexpr Duration kStopTimeout = std::chrono::seconds(5);
+constexpr Duration kStopStep = std::chrono::milliseconds(20);
+
 void LogOutcome(const contracts::Command& command,
                 const contracts::CommandResult& outcome, bool repeated) {
   const bool accepted = outcome.status == contracts::CommandStatus::kAccepted;
@@ -66,7 +70,25 @@
           .body = set.registry.ToText()};
 }
 
+void Server::Stop() {
+  if (!this->stop_deadline) {
+    this->stop_deadline = net::Loop::Now() + kStopTimeout;
+    this->StepStop();
+  }
+}
+
+void Server::StepStop() {
+  std::erase_if(this->open_calls,
+                [](const auto& call) { return call.expired(); });
+  const bool is_over = net::Loop::Now() >= *this->stop_deadline;
+  if (this->open_calls.empty() || is_over) return this->loop.Stop();
+  this->loop.After(kStopStep, [this] { this->StepStop(); });
+}
+
 void Server::Handle(const Stream& stream, const std::string& body) {
+  std::erase_if(this->open_calls,
+                [](const auto& open) { return open.expired(); });
+  this->open_calls.push_back(stream);
   const OperatorCall call = ReadOperatorCall(
       stream->head(), body, this->settings.operator_token.value);
   if (call.kind == CallKind::kRejected) return stream->Reply(call.rejection);
--- a/samphirebank/coordinator/internal/server.h
+++ b/samphirebank/coordinator/internal/server.h
@@ -13,7 +13,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <utility>
 
 #include "samphirebank/coordinator/internal/document.h"
 #include "samphirebank/dialect/dialect.h"
@@ -57,11 +56,10 @@
          const settings::CoordinatorSettings& given,
          const dialect::Dialect& adapter);
 
-  // Stop hands over this instance's vote, and calls `done` once the process may
-  // end. Until then the instance serves as before.
-  void Stop(std::function<void()> done) {
-    this->replication->Depart(std::move(done));
-  }
+  // Stop hands over this instance's vote, and calls `done` once that is over
+  // and all orders have their answers. Until then the instance serves as
+  // before.
+  void Stop(std::function<void()> done);
   // failed says whether the instance had to stop.
   bool failed() const { return this->has_failed; }
 
@@ -81,6 +79,8 @@
   replication::Hooks MakeHooks();
   void StartTimer();
   void Tick();
+  // StepStop ends a Stop that has nothing to wait for any more.
+  void StepStop(TimePoint now);
   void After(Duration delay, std::function<void()> action);
 
   // Replicated log.
@@ -143,6 +143,8 @@
   boost::asio::steady_timer timer;
   TimePoint leader_known_at;
   bool led = false;
+  std::function<void()> stopped;  // set while Stop waits for orders
+  TimePoint stop_deadline;
   bool has_failed = false;
   Metrics metrics;
 };
--- a/samphirebank/coordinator/server.cc
+++ b/samphirebank/coordinator/server.cc
@@ -21,6 +21,8 @@
 // Above the leader's heartbeat interval and a crossing between regions.
 constexpr Duration kLeaderlessElectionTimeout = milliseconds(400);
 constexpr Duration kAnnounceInterval = milliseconds(300);
+// Orders are decided within this time.
+constexpr Duration kOrderTimeout = milliseconds(2500);
 constexpr Duration kFollowerForgotten = std::chrono::seconds(60);
 
 std::vector<InstanceId> SeedInstances(
@@ -146,6 +148,7 @@
   this->ShareLoad(now);
   this->ShareEvidence(now);
   events::Flush();
+  this->StepStop(now);
   std::erase_if(this->followers, [&](const auto& item) {
     return now - item.second.polled_at >= kFollowerForgotten;
   });
@@ -159,6 +162,23 @@
   }
 }
 
+void Server::Stop(std::function<void()> done) {
+  this->replication->Depart([this, done = std::move(done)] {
+    const TimePoint now = Now();
+    this->stopped = done;
+    this->stop_deadline = now + kOrderTimeout;
+    this->StepStop(now);
+  });
+}
+
+void Server::StepStop(TimePoint now) {
+  if (!this->stopped) return;
+  const bool is_answered = this->control_server->num_unanswered() == 0;
+  if (is_answered || now >= this->stop_deadline) {
+    std::exchange(this->stopped, {})();
+  }
+}
+
 void Server::Apply(const std::string& entry) {
   if (ApplyEntry(this->document, entry)) this->TakeDocumentSoon();
 }
--- a/samphirebank/router/callers.cc
+++ b/samphirebank/router/callers.cc
@@ -11,6 +11,7 @@
 #include "samphirebank/router/internal/actions.h"
 #include "samphirebank/router/internal/admin.h"
 #include "samphirebank/router/internal/configuration.h"
+#include "samphirebank/router/internal/drain.h"
 #include "samphirebank/router/internal/peers.h"
 #include "samphirebank/router/internal/pools.h"
 
@@ -144,6 +145,10 @@
     request->pool.service = request->route.service;
     request->estimate = Tokens(1);
   }
+  if (IsDrained(router)) {
+    refuse(ingress::NotRun(503, "this router shuts down", kNoPoolRetry));
+    return;
+  }
   if (!lease::MayAct(router.holder, now)) {
     refuse(ingress::NotRun(503, "no configuration is in force here",
                            kNoLeaseRetry));
--- a/samphirebank/router/drain.cc
+++ b/samphirebank/router/drain.cc
@@ -34,8 +34,10 @@
                .count = static_cast<int64_t>(router.requests.size())});
 }
 
+bool IsDrained(const Router& router) { return router.drained; }
+
 void PumpDrain(Router& router, TimePoint now) {
-  if (!router.draining) return;
+  if (!router.draining || router.drained) return;
   if (MayStop(router, now)) {
     router.loop.Stop();
     return;
@@ -50,7 +52,7 @@
   }
   // One more turn lets the last answers out.
   constexpr Duration kFlush = std::chrono::milliseconds(200);
-  router.drain_until = now + std::chrono::hours(1);
+  router.drained = true;
   router.loop.After(kFlush, [&router] { router.loop.Stop(); });
 }
 
--- a/samphirebank/router/internal/drain.h
+++ b/samphirebank/router/internal/drain.h
@@ -12,6 +12,10 @@
 // BeginDrain starts the shutdown; called again it ends what still runs.
 void BeginDrain(Router& router);
 
+// IsDrained returns whether the shutdown has ended what still ran. A request
+// that comes now would not be answered.
+bool IsDrained(const Router& router);
+
 // PumpDrain ends the process once nothing is left or the time is up.
 void PumpDrain(Router& router, TimePoint now);
 
--- a/samphirebank/router/internal/state.h
+++ b/samphirebank/router/internal/state.h
@@ -115,6 +115,7 @@
   net::TimerId pump_timer;  // the next Pump, at pump_at
   TimePoint pump_at;
   bool draining = false;
+  bool drained = false;
   TimePoint drain_until;
   TimePoint drain_since;
   int exit_code = 0;
--- a/samphirebank/router/router_process_test.cc
+++ b/samphirebank/router/router_process_test.cc
@@ -208,6 +208,30 @@
   CHECK(leaving.process->Wait() == 0);
 }
 
+// Guards against a request that comes while a shutdown ends what still runs,
+// and that is cut without an answer.
+TEST_CASE("a request that comes at the end of a shutdown is refused") {
+  Fleet fleet(8);
+  fleet.Contracts({"guides"});
+  Entry& leaving = fleet.entries[1];
+  const int running =
+      testing::Begin(leaving.caller, Fleet::ModelCall("guides", 4'000));
+  REQUIRE(testing::WaitUntil([&] {
+    return Has(Ask(leaving.admin, {.path = "/metrics"}), "received_total 1");
+  }));
+  leaving.process->Signal(SIGTERM);
+  REQUIRE(testing::WaitUntil(
+      [&] { return Ask(leaving.admin, {.path = "/readyz"}).status == 503; }));
+  leaving.process->Signal(SIGTERM);  // ends what still runs
+  const Reply ended = testing::End(running);
+  CHECK(ended.status != 0);
+  const Reply late =
+      testing::Ask(leaving.caller, Fleet::ModelCall("guides", 4'000));
+  CHECK(late.status == 503);
+  CHECK(late.whole);
+  CHECK(leaving.process->Wait() == 1);
+}
+
 TEST_CASE("without control new work is refused truthfully, then goes on") {
   Fleet fleet(8);
   fleet.Contracts({"guides"});
--- a/samphirebank/web/server.cc
+++ b/samphirebank/web/server.cc
@@ -15,8 +15,11 @@
 class Session : public std::enable_shared_from_this<Session> {
  public:
   Session(std::shared_ptr<Connection> connected, asio::io_context& loop,
-          const ServerOptions& given)
-      : connection(std::move(connected)), timer(loop), options(given) {}
+          const ServerOptions& given, std::shared_ptr<size_t> unanswered)
+      : connection(std::move(connected)),
+        timer(loop),
+        options(given),
+        num_unanswered(std::move(unanswered)) {}
 
   void Start() {
     this->reader = std::make_unique<RequestReader>(this->options.limits);
@@ -60,10 +63,12 @@
 
   void Answer(const Request& request) {
     this->answering = true;
+    ++*this->num_unanswered;
     const bool keep = request.keep_alive;
     this->options.on_request(request, [self = this->shared_from_this(),
                                        keep](const web::Answer& answer) {
       self->connection->Send(EncodeAnswer(answer, keep));
+      --*self->num_unanswered;
       if (!keep) return self->connection->CloseAfterSending();
       self->NextRequest();
     });
@@ -82,6 +87,7 @@
   const ServerOptions& options;
   std::unique_ptr<RequestReader> reader;
   bool answering = false;
+  std::shared_ptr<size_t> num_unanswered;  // of all sessions
 };
 
 }  // namespace
@@ -92,11 +98,14 @@
         listener(loop, this->options.address,
                  [this, &loop](std::shared_ptr<Connection> connection) {
                    std::make_shared<Session>(std::move(connection), loop,
-                                             this->options)
+                                             this->options,
+                                             this->num_unanswered)
                        ->Start();
                  }) {}
 
   ServerOptions options;
+  // Shared with the sessions, which outlive the server.
+  std::shared_ptr<size_t> num_unanswered = std::make_shared<size_t>(0);
   Listener listener;
 };
 
@@ -107,4 +116,6 @@
 
 void Server::Stop() { this->impl->listener.Stop(); }
 
+size_t Server::num_unanswered() const { return *this->impl->num_unanswered; }
+
 }  // namespace samphirebank::web
--- a/samphirebank/web/web.h
+++ b/samphirebank/web/web.h
@@ -245,7 +245,10 @@
  public:
   Server(asio::io_context& loop, ServerOptions options);
   ~Server();
+  // Stop accepts no more connections.
   void Stop();
+  // num_unanswered is how many requests have not got their answer yet.
+  size_t num_unanswered() const;
 
  private:
   struct Impl;
