--- a/samphirebank/web/web_test.cc
+++ b/samphirebank/web/web_test.cc
@@ -82,23 +82,27 @@
   constexpr size_t kMaxHeld = 256 << 10;
   const std::string chunked =
       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
-  const std::vector<std::pair<std::string, std::string>> beginnings_and_pieces =
-      {{"", "\r\n"},
-       {"POST ", "x"},
-       {"POST / HTTP/1.1\r\n", "X: y\r\n"},
-       {chunked, "0"},
-       {chunked + "5;", "x"},
-       {chunked + "0\r\n", "X: y\r\n"},
-       {chunked + "0\r\nX: ", "y"}};
-  for (const auto& [beginning, piece] : beginnings_and_pieces) {
-    CAPTURE(beginning);
+  // Endless is a beginning, and what follows it again and again.
+  struct Endless {
+    std::string beginning;
+    std::string piece;
+  };
+  const std::vector<Endless> cases = {{"", "\r\n"},
+                                      {"POST ", "x"},
+                                      {"POST / HTTP/1.1\r\n", "X: y\r\n"},
+                                      {chunked, "0"},
+                                      {chunked + "5;", "x"},
+                                      {chunked + "0\r\n", "X: y\r\n"},
+                                      {chunked + "0\r\nX: ", "y"}};
+  for (const Endless& item : cases) {
+    CAPTURE(item.beginning);
     RequestReader reader({.head_bytes = 16 << 10, .body_bytes = 1 << 20});
-    std::string input = beginning;
+    std::string input = item.beginning;
     ReadState state = ReadState::kMore;
     size_t fed = input.size();
     while (state == ReadState::kMore && fed < 2 * kMaxHeld) {
-      for (int i = 0; i < 1000; ++i) input += piece;
-      fed += 1000 * piece.size();
+      for (int i = 0; i < 1000; ++i) input += item.piece;
+      fed += 1000 * item.piece.size();
       state = reader.Feed(&input);
     }
     CHECK(state != ReadState::kMore);
