A partial record is dropped before the next write

Seen: with a full disk that also refuses the truncation of what it had taken of a record, the folder could not be opened any more (storage_test, new case).

Cause: AppendToSegment truncates after a failed append. Where the truncation failed with kFull too, Flush treated that as a full disk, and the next append wrote behind the partial record: recovery takes that for a corrupt one.

Ruled out: the real file system; ftruncate to a smaller size needs no space on the ones we know. A full disk that "refuses every write" may refuse this.

Change: the storage remembers the partial record and drops it before it appends or starts the next segment.

--- a/samphirebank/storage/internal/memory_files.h
+++ b/samphirebank/storage/internal/memory_files.h
@@ -43,6 +43,8 @@
   // SetCapacity limits the total size of all files. An Append beyond it writes
   // the bytes that still fit and fails with kFull.
   void SetCapacity(uint64_t bytes);
+  // RefuseTruncation makes Truncate fail with kFull, or succeed again.
+  void RefuseTruncation(bool refuse);
   // SimulatePowerLoss drops or damages a random part of the unsynced data and
   // undoes FailAfter. `seed` determines the random choices.
   void SimulatePowerLoss(uint64_t seed);
@@ -69,6 +71,7 @@
   Names durable_names;                   // as of the last SyncFolder
   std::optional<uint64_t> changes_left;  // until changes fail
   std::optional<uint64_t> capacity;      // in bytes
+  bool refuses_truncation = false;
   uint64_t change_count = 0;
   uint64_t sync_count = 0;
 };
--- a/samphirebank/storage/memory_files.cc
+++ b/samphirebank/storage/memory_files.cc
@@ -40,6 +40,10 @@
 
 leaf::result<void> MemoryFiles::Truncate(const std::string& name,
                                          uint64_t size) {
+  if (this->refuses_truncation) {
+    return leaf::new_error(
+        Error{.kind = ErrorKind::kFull, .file = name, .detail = "refused"});
+  }
   BOOST_LEAF_CHECK(this->CountChange(name));
   this->names[name]->bytes.resize(size);
   return {};
@@ -77,6 +81,10 @@
 
 void MemoryFiles::SetCapacity(uint64_t bytes) { this->capacity = bytes; }
 
+void MemoryFiles::RefuseTruncation(bool refuse) {
+  this->refuses_truncation = refuse;
+}
+
 void MemoryFiles::SimulatePowerLoss(uint64_t seed) {
   std::mt19937_64 random(seed);
   if (random() % 2 == 0) this->names = this->durable_names;
--- a/samphirebank/storage/storage.cc
+++ b/samphirebank/storage/storage.cc
@@ -138,6 +138,7 @@
     if (this->segment_bytes + bytes.size() > limit) {
       // No sync marker is needed: recovery accepts a torn write only in the
       // newest segment.
+      BOOST_LEAF_CHECK(this->DropPartialAppend());
       BOOST_LEAF_CHECK(this->files.Sync(this->segment_name));
       return this->StartSegment({}, persist.entries);
     }
@@ -146,19 +147,28 @@
     return {};
   }
 
-  // AppendToSegment appends all bytes; if the append fails, it truncates the
-  // segment to its previous length.
+  // AppendToSegment appends all bytes. What a failed append leaves behind is
+  // dropped at once, or before the next write if a full disk refuses that too.
   leaf::result<void> AppendToSegment(std::string_view bytes) {
+    BOOST_LEAF_CHECK(this->DropPartialAppend());
     leaf::result<void> appended = this->files.Append(this->segment_name, bytes);
     if (!appended) {
-      BOOST_LEAF_CHECK(
-          this->files.Truncate(this->segment_name, this->segment_bytes));
+      this->has_partial_append = true;
+      BOOST_LEAF_CHECK(this->DropPartialAppend());
       return appended;
     }
     this->segment_bytes += bytes.size();
     return {};
   }
 
+  leaf::result<void> DropPartialAppend() {
+    if (!this->has_partial_append) return {};
+    BOOST_LEAF_CHECK(
+        this->files.Truncate(this->segment_name, this->segment_bytes));
+    this->has_partial_append = false;
+    return {};
+  }
+
   // WriteSnapshot writes a snapshot, restarts the log after it and removes the
   // older snapshots and segments.
   leaf::result<void> WriteSnapshot(const Persist& persist) {
@@ -188,6 +198,7 @@
     this->segment_bytes = bytes.size();
     this->durable_bytes = bytes.size();
     this->has_unsynced_records = false;
+    this->has_partial_append = false;
     return {};
   }
 
@@ -267,6 +278,7 @@
   uint64_t segment_bytes = 0;
   uint64_t durable_bytes = 0;  // synced bytes of the segment
   bool has_unsynced_records = false;
+  bool has_partial_append = false;  // after the first segment_bytes
 };
 
 }  // namespace
--- a/samphirebank/storage/storage_test.cc
+++ b/samphirebank/storage/storage_test.cc
@@ -289,6 +289,33 @@
   CHECK((*reopened)->TakeRecovered().entries.size() == 3);
 }
 
+// Guards against a log that cannot be read any more: what a full disk had taken
+// of a record stayed in the segment, and the next records came after it.
+TEST_CASE(
+    "a partial record on a disk that refuses truncation is dropped later") {
+  MemoryFiles files;
+  auto storage = Storage::Open(files, kOptions);
+  REQUIRE(storage);
+  Store(**storage, {.ticket = Ticket(1), .entries = {MakeEntry(1, 1)}});
+  files.SetCapacity(1000);
+  files.RefuseTruncation(true);
+  (*storage)->Enqueue({.ticket = Ticket(2), .entries = {MakeEntry(2, 1, 900)}});
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    const leaf::result<FlushResult> flushed = (*storage)->Flush();
+    REQUIRE(flushed);
+    CHECK(flushed->disk_full);
+    CHECK(flushed->synced == Ticket(1));
+  }
+  files.SetCapacity(100'000);
+  files.RefuseTruncation(false);
+  const leaf::result<FlushResult> flushed = (*storage)->Flush();
+  REQUIRE(flushed);
+  CHECK(flushed->synced == Ticket(2));
+  auto reopened = Storage::Open(files, kOptions);
+  REQUIRE(reopened);
+  CHECK((*reopened)->TakeRecovered().entries.size() == 2);
+}
+
 TEST_CASE("a flush syncs once for all queued writes") {
   MemoryFiles files;
   auto storage = Storage::Open(files, kOptions);
