A newer proof no longer replaces one whose changes are on their way

Seen (decision test): a holder that is always one change behind, as where the changes exceed one update, has no lease from the first change on, though each change arrives 0.1 s later. Routers and control followers hold such leases.

Ruled out: the choice of the instance to poll. It goes by the lease that is left, so one that answers but is behind is left after half a lease.

Change: the oldest pending proof stays until its changes have arrived; the newest one waits behind it. Before: holder_test "a holder that is always a change behind keeps its lease" fails from i = 1 on; after: 13 of 13 cases pass.

--- a/samphirebank/lease/holder.cc
+++ b/samphirebank/lease/holder.cc
@@ -119,16 +119,25 @@
   }
 }
 
-// PromoteProof moves the pending proof to `satisfied_proof` once all its
-// changes have been applied.
+// PromoteIfSatisfied moves a proof to `satisfied_proof` if all its changes have
+// been applied, and returns whether it did.
+bool PromoteIfSatisfied(Holder& holder, std::optional<Proof>& proof) {
+  if (!proof || holder.history.configuration.revision < proof->revision) {
+    return false;
+  }
+  if (!holder.satisfied_proof || holder.satisfied_proof->basis < proof->basis) {
+    holder.satisfied_proof = proof;
+  }
+  proof.reset();
+  return true;
+}
+
+// PromoteProof promotes the pending proofs whose changes have been applied.
 void PromoteProof(Holder& holder) {
-  if (!holder.pending) return;
-  if (holder.history.configuration.revision < holder.pending->revision) return;
-  if (!holder.satisfied_proof ||
-      holder.satisfied_proof->basis < holder.pending->basis) {
-    holder.satisfied_proof = holder.pending;
+  if (PromoteIfSatisfied(holder, holder.newest_pending)) holder.pending.reset();
+  if (PromoteIfSatisfied(holder, holder.pending)) {
+    holder.pending = std::exchange(holder.newest_pending, std::nullopt);
   }
-  holder.pending.reset();
 }
 
 bool ApplyContent(Holder& holder, const ConfigUpdate& update) {
@@ -227,9 +236,9 @@
 }
 
 void AdoptProof(Holder& holder, const Proof& proof) {
-  if (!holder.pending || holder.pending->basis < proof.basis) {
-    holder.pending = proof;
-  }
+  std::optional<Proof>& slot =
+      holder.pending ? holder.newest_pending : holder.pending;
+  if (!slot || slot->basis < proof.basis) slot = proof;
   PromoteProof(holder);
 }
 
--- a/samphirebank/lease/holder_test.cc
+++ b/samphirebank/lease/holder_test.cc
@@ -82,6 +82,27 @@
   CHECK(MayAct(holder, At(seconds(11))));
 }
 
+// Guards against a lease that lapses for as long as changes come: each newer
+// proof took the place of the one whose changes were about to arrive.
+TEST_CASE("a holder that is always a change behind keeps its lease") {
+  contracts::Machine machine = MachineWith(3);
+  Holder holder = MakeHolder(Options());
+  for (int i = 0; i < 60; ++i) {
+    const TimePoint now = At(milliseconds(10'000 + 100 * i));
+    Accept(machine, 3 + i);
+    const Proof proof{now, machine.history.configuration.revision};
+    for (const OutgoingPoll& send : OnTimer(holder, now)) {
+      ConfigUpdate update = MakeUpdate(
+          machine.history, proof, holder.options.parameters, send.poll, now);
+      REQUIRE(!update.changes.empty());
+      update.changes.pop_back();  // as where the changes exceed one update
+      OnUpdate(holder, update, now);
+    }
+    CAPTURE(i);
+    if (i > 0) CHECK(MayAct(holder, now));
+  }
+}
+
 TEST_CASE("an instance that lacks changes of a proof does not relay it") {
   const contracts::Machine machine = MachineWith(3);
   const ConfigUpdate update =
--- a/samphirebank/lease/lease.h
+++ b/samphirebank/lease/lease.h
@@ -208,8 +208,10 @@
   contracts::History history;
   // The newest proof whose revision `history` has reached.
   std::optional<Proof> satisfied_proof;
-  // A newer proof whose changes have not all arrived.
+  // A newer proof whose changes have not all arrived. It waits for its changes
+  // even if yet newer proofs arrive meanwhile; the newest one of these follows.
   std::optional<Proof> pending;
+  std::optional<Proof> newest_pending;
   std::optional<SnapshotCopy> copy;
   std::optional<net::SocketAddress> leader;
   std::optional<net::SocketAddress> leader_operator;
