--- a/samphirebank/consensus/consensus.h
+++ b/samphirebank/consensus/consensus.h
@@ -468,6 +468,9 @@
   uint32_t max_learner_lag = 100;
   uint32_t max_snapshot_transfers = 2;     // concurrent
   Bytes snapshot_rate = Bytes(512 << 10);  // per second, all transfers together
+  // A snapshot that would take longer than this at snapshot_rate is sent
+  // faster, so that a member has caught up in time however large it is.
+  Duration snapshot_time = std::chrono::seconds(1);
 };
 
 // Role is a member's part in elections and replication.
--- a/samphirebank/consensus/consensus_test.cc
+++ b/samphirebank/consensus/consensus_test.cc
@@ -407,5 +407,24 @@
   CHECK(group.max_message_bytes < net::kMaxPeerMessage / 2);
 }
 
+// Guards against a voter that is missing for longer than a lost machine may
+// take to catch up: the time of a transfer grew with the document.
+TEST_CASE("a large snapshot reaches a member within 2 s") {
+  Group group(3, 3);
+  const size_t leader = group.Leader();
+  const size_t follower = (leader + 1) % 3;
+  constexpr size_t kSize = 5'000'000;  // that of a fleet of 340 nodes
+  group.isolated.insert(follower);
+  for (int i = 0; i < 3000; ++i) group.Propose(leader, "x");
+  const LogIndex index = group.members[leader].commit_index;
+  group.Deliver(
+      leader,
+      SnapshotTaken{.index = index,
+                    .data = std::make_shared<const std::string>(kSize, 'x')});
+  group.isolated.clear();
+  group.AdvanceTime(seconds(2));
+  CHECK(group.members[follower].commit_index >= index);
+}
+
 }  // namespace
 }  // namespace samphirebank::consensus
--- a/samphirebank/consensus/transfer.cc
+++ b/samphirebank/consensus/transfer.cc
@@ -1,8 +1,13 @@
+#include <chrono>
+
 #include "samphirebank/consensus/internal/core.h"
 
 namespace samphirebank::consensus::internal {
 namespace {
 
+// The time by which a chunk may be late because ticks and replies are discrete.
+constexpr Duration kMaxLateness = std::chrono::milliseconds(100);
+
 size_t CountActiveTransfers(const State& state) {
   return static_cast<size_t>(
       std::count_if(state.progress.begin(), state.progress.end(),
@@ -16,6 +21,24 @@
          context.state.options.election_timeout;
 }
 
+// SetNextChunkTime spaces the chunks out to the rate of the transfer. A chunk
+// that was late by at most kMaxLateness does not delay the next one.
+void SetNextChunkTime(Context& context, int64_t chunk_bytes,
+                      uint64_t snapshot_bytes) {
+  State& state = context.state;
+  const Options& options = state.options;
+  const auto seconds = std::chrono::duration<double>(options.snapshot_time);
+  const double bytes_per_second =
+      std::max(static_cast<double>(options.snapshot_rate.value),
+               static_cast<double>(snapshot_bytes) / seconds.count());
+  const auto interval =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          static_cast<double>(chunk_bytes) / bytes_per_second));
+  const bool is_steady = context.now - state.next_chunk_at <= kMaxLateness;
+  const TimePoint due = is_steady ? state.next_chunk_at : context.now;
+  state.next_chunk_at = due + interval;
+}
+
 void SendChunk(Context& context, const MemberId& member,
                SnapshotTransfer& transfer) {
   State& state = context.state;
@@ -25,11 +48,8 @@
       .offset = transfer.received_bytes,
       .data = data.substr(transfer.received_bytes, kMaxChunkBytes),
       .round = state.round};
-  const auto bytes = static_cast<int64_t>(chunk.data.size());
-  const int64_t bytes_per_second =
-      std::max<int64_t>(1, state.options.snapshot_rate.value);
-  state.next_chunk_at = context.now + Duration(std::chrono::seconds(1)) *
-                                          bytes / bytes_per_second;
+  SetNextChunkTime(context, static_cast<int64_t>(chunk.data.size()),
+                   data.size());
   transfer.awaiting_reply = true;
   transfer.sent_at = context.now;
   Send(context, member, std::move(chunk));
