A follower whose disk has room again asks for what it refused

In the new case of consensus_test it lacks the entry until the leader's resend timeout (0.4 s).

Cause: while its disk is full, a follower acknowledges what it has.

Change: a follower sends a hint without a request when its disk has room again. The case fails before (entry 3 of 4) and passes after; played in simulated time only.

--- a/samphirebank/consensus/consensus.h
+++ b/samphirebank/consensus/consensus.h
@@ -228,7 +228,8 @@
 struct AppendReply {
   bool accepted = false;
   // If accepted, the log matches the leader's up to this index and is durable;
-  // otherwise a hint: the index at which the leader should probe next.
+  // otherwise a hint: the index at which the leader should probe next. A
+  // member whose disk has room again sends one without a request.
   LogIndex match_index{};
   uint64_t round = 0;  // copied from the request
 
@@ -302,7 +303,8 @@
 };
 
 // StorageFull reports whether the disk is full. While it is, proposals are
-// refused and the member does not start elections.
+// refused and the member does not start elections. A follower that has room
+// again requests the entries that it had to refuse.
 struct StorageFull {
   bool full = false;
 };
--- a/samphirebank/consensus/consensus_test.cc
+++ b/samphirebank/consensus/consensus_test.cc
@@ -18,11 +18,13 @@
 }
 
 // Group runs members with instant disks over a reliable network. The members in
-// `isolated` neither send nor receive messages.
+// `isolated` neither send nor receive messages; the disks of those in `full`
+// take nothing.
 struct Group {
   TimePoint now{};
   std::vector<State> members{};
   std::set<size_t> isolated{};
+  std::set<size_t> full{};
   std::deque<Message> network{};
   std::vector<ProposalResponse> responses{};
   std::vector<Confirmation> confirmations{};
@@ -67,7 +69,16 @@
                      actions.proposal_responses.end());
     confirmations.insert(confirmations.end(), actions.confirmations.begin(),
                          actions.confirmations.end());
-    if (actions.persist) Handle(i, Persisted{actions.persist->ticket});
+    if (!actions.persist) return;
+    if (full.contains(i)) return Handle(i, StorageFull{.full = true});
+    Handle(i, Persisted{actions.persist->ticket});
+  }
+
+  // MakeRoom frees the disk of member `i`, which then takes all that waited.
+  void MakeRoom(size_t i) {
+    full.erase(i);
+    Deliver(i, StorageFull{.full = false});
+    Deliver(i, Persisted{members[i].last_ticket});
   }
 
   void RecordMessage(const Message& message) {
@@ -407,6 +418,27 @@
   CHECK(group.max_message_bytes < net::kMaxPeerMessage / 2);
 }
 
+// Guards against a change that waits for a resend timeout: where a snapshot was
+// what did not fit, no held reply tells the leader that there is room again.
+TEST_CASE("a follower whose disk has room again gets what it refused at once") {
+  Group group(3, 3);
+  const size_t leader = group.Leader();
+  const size_t follower = (leader + 1) % 3;
+  CHECK(group.Propose(leader, "x") == Outcome::kCommitted);
+  group.AdvanceTime(milliseconds(400));
+  group.full.insert(follower);
+  group.Deliver(
+      follower,
+      SnapshotTaken{.index = group.members[follower].commit_index,
+                    .data = std::make_shared<const std::string>("x")});
+  CHECK(group.Propose(leader, "y") == Outcome::kCommitted);
+  REQUIRE(LastIndex(group.members[follower]) <
+          LastIndex(group.members[leader]));
+  group.MakeRoom(follower);
+  CHECK(group.members[follower].synced_index ==
+        LastIndex(group.members[leader]));
+}
+
 // Guards against a voter that is missing for longer than a lost machine may
 // take to catch up: the time of a transfer grew with the document.
 TEST_CASE("a large snapshot reaches a member within 2 s") {
--- a/samphirebank/consensus/follower.cc
+++ b/samphirebank/consensus/follower.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "samphirebank/consensus/internal/core.h"
 
 namespace samphirebank::consensus::internal {
@@ -48,8 +50,22 @@
           .accepted = true, .match_index = match_index, .round = round});
 }
 
+// RequestRefusedEntries makes the leader send again what this member refused
+// while its disk was full, without waiting for its timeout.
+void RequestRefusedEntries(Context& context) {
+  const State& state = context.state;
+  if (state.role != Role::kFollower || !state.leader) return;
+  SendWhenDurable(context, *state.leader,
+                  AppendReply{.match_index = state.commit_index});
+}
+
 }  // namespace
 
+void HandleStorageFull(Context& context, const StorageFull& event) {
+  const bool was_full = std::exchange(context.state.storage_full, event.full);
+  if (was_full && !event.full) RequestRefusedEntries(context);
+}
+
 void HandleAppendRequest(Context& context, const Message& message,
                          const AppendRequest& request) {
   State& state = context.state;
--- a/samphirebank/consensus/internal/core.h
+++ b/samphirebank/consensus/internal/core.h
@@ -126,6 +126,7 @@
 
 void HandleAppendRequest(Context& context, const Message& message,
                          const AppendRequest& request);
+void HandleStorageFull(Context& context, const StorageFull& event);
 
 // Proposals (proposals.cc).
 
--- a/samphirebank/consensus/step.cc
+++ b/samphirebank/consensus/step.cc
@@ -125,7 +125,7 @@
           [&](const Tick&) { HandleTick(context); },
           [&](const Received& e) { HandleReceived(context, e.message); },
           [&](const Persisted& e) { HandlePersisted(context, e); },
-          [&](const StorageFull& e) { context.state.storage_full = e.full; },
+          [&](const StorageFull& e) { HandleStorageFull(context, e); },
           [&](const Propose& e) { HandlePropose(context, e); },
           [&](const ConfirmLeadership& e) {
             HandleConfirmLeadership(context, e);
