An instance that starts on an empty full disk waits for room

Cause: MakeReplication throws for any error of the folder, also for one that ends by itself (kFull).

Ruled out: starting with a full disk and a whole folder; nothing is written then.

Change: on kFull the member tries again each 0.1 s; until then it has no part in the group: it doesn't lead, refuses proposals as "disk full" and drops messages. The running member's retry was 0.5 s and is now the same. Other errors end the process as before.

--- a/samphirebank/control/faults_process_test.cc
+++ b/samphirebank/control/faults_process_test.cc
@@ -1,12 +1,12 @@
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <netinet/in.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <memory>
@@ -28,14 +28,6 @@
 using testing::PutContract;
 using testing::Reply;
 
-// LimitFiles makes writes beyond `bytes` into a file fail, as on a full disk.
-void LimitFiles(const ControlInstance& instance, rlim_t bytes) {
-  rlimit limit{};
-  REQUIRE(prlimit(instance.process->pid(), RLIMIT_FSIZE, nullptr, &limit) == 0);
-  limit.rlim_cur = bytes == RLIM_INFINITY ? limit.rlim_max : bytes;
-  REQUIRE(prlimit(instance.process->pid(), RLIMIT_FSIZE, &limit, nullptr) == 0);
-}
-
 // IsLogged looks for an event of a change in the instances' log files.
 bool IsLogged(const ControlGroup& group, const std::string& change) {
   for (const ControlInstance& instance : group.instances) {
@@ -149,7 +141,7 @@
   REQUIRE(put.status == 200);
   const EntryRouter router(group, "r1", All(group));
   REQUIRE(testing::WaitUntil([&] { return router.Ready(); }));
-  for (const ControlInstance& one : group.instances) LimitFiles(one, 1);
+  for (const ControlInstance& one : group.instances) one.process->FillDisk();
 
   // The first ones may already be in the log when the disk refuses them.
   std::vector<int> unknown;
@@ -172,9 +164,7 @@
         std::string::npos);
   group.CheckContracts(1);
 
-  for (const ControlInstance& one : group.instances) {
-    LimitFiles(one, RLIM_INFINITY);
-  }
+  for (const ControlInstance& one : group.instances) one.process->FreeDisk();
   const auto accepted = static_cast<size_t>(unknown.size()) + 2;
   for (const int i : unknown) {
     CHECK(group.Ask(PutContract(i, "org" + std::to_string(i))).status == 200);
@@ -189,6 +179,30 @@
   group.CheckContracts(accepted);
 }
 
+// Guards against an instance that ends since its disk is full when it starts.
+TEST_CASE("an instance that starts on an empty full disk joins later") {
+  ControlGroup group(SAMPHIREBANK_BINARY);
+  ControlInstance& other = *group.Others(group.Leader()).front();
+  ControlGroup::Kill(other);
+  std::filesystem::remove_all(group.DataFolder(other));
+  {
+    const testing::FullDiskAtStart full;
+    group.Start(other);
+  }
+  std::this_thread::sleep_for(milliseconds(1500));
+  REQUIRE_FALSE(other.process->Ended());
+  CHECK(group.Ask(PutContract(1, "guides")).status == 200);
+  other.process->FreeDisk();
+  REQUIRE(testing::WaitUntil([&] {
+    return group
+               .Ask({.method = "POST",
+                     .path = "members/replace",
+                     .body = R"({"member":")" + other.name + "\"}"})
+               .status == 200;
+  }));
+  group.CheckContracts(1);
+}
+
 TEST_CASE("a router frozen beyond its lease serves no withdrawn contract") {
   ControlGroup group(SAMPHIREBANK_BINARY);
   const Reply put = group.Ask(PutGuides());
--- a/samphirebank/replication/departure.cc
+++ b/samphirebank/replication/departure.cc
@@ -43,6 +43,7 @@
 
 void Member::ContinueDeparture(TimePoint now) {
   if (!this->departure) return;
+  if (!this->disk) return this->EndDeparture("the data folder is not open");
   const MemberId& self = this->state.options.self;
   if (now >= this->departure->deadline) return this->EndDeparture("timeout");
   if (this->options.desired_voters == 0) {
--- a/samphirebank/replication/internal/member.h
+++ b/samphirebank/replication/internal/member.h
@@ -72,7 +72,14 @@
   };
   using MembershipDone = std::function<void(consensus::Outcome)>;
 
-  void OpenStorage();
+  // OpenStorage opens the data folder and recovers its contents. While the disk
+  // is too full for that, it retries, and the member takes no part in the
+  // group. Returns any other error.
+  std::optional<storage::Error> OpenStorage();
+  wire::leaf::result<void> TryOpenStorage();
+  void Recover();
+  // SetDiskFull logs a change of `disk_full` and returns whether there was one.
+  bool SetDiskFull(bool full);
   void ScheduleTick();
   void Tick();
   // MaintainMembership proposes the change that PlanMembershipChange returns,
@@ -114,7 +121,7 @@
   Options options;
   Hooks hooks;
   std::unique_ptr<storage::Files> files;
-  std::unique_ptr<storage::Storage> disk;
+  std::unique_ptr<storage::Storage> disk;  // null until the folder is open
   consensus::State state;
   LogIndex applied_index;
   uint64_t next_tag = 1;
--- a/samphirebank/replication/member.cc
+++ b/samphirebank/replication/member.cc
@@ -24,7 +24,7 @@
 using consensus::MemberId;
 using std::chrono::milliseconds;
 
-constexpr Duration kDiskFullRetryInterval = milliseconds(500);
+constexpr Duration kDiskFullRetryInterval = milliseconds(100);
 // A proposal is decided within this time unless a quorum of the voters or their
 // disks is lost.
 constexpr Duration kProposalTimeout = std::chrono::seconds(2);
@@ -38,27 +38,19 @@
   return number;
 }
 
-// ValueOrThrow returns the value of `open`, or throws std::runtime_error if it
-// fails: an instance cannot start without its data folder.
-template <typename Open>
-auto ValueOrThrow(Open open) {
-  using Value = std::decay_t<decltype(*open())>;
-  std::string failure;
-  auto value = wire::leaf::try_handle_all(
-      [&]() -> wire::leaf::result<std::optional<Value>> {
-        BOOST_LEAF_AUTO(opened, open());
-        return std::optional<Value>(std::move(opened));
+// ErrorOf returns the error of `action`, or nullopt if it succeeds.
+template <typename Action>
+std::optional<storage::Error> ErrorOf(Action action) {
+  return wire::leaf::try_handle_all(
+      [&]() -> wire::leaf::result<std::optional<storage::Error>> {
+        BOOST_LEAF_CHECK(action());
+        return std::optional<storage::Error>();
       },
-      [&](const storage::Error& error) {
-        failure = error.ToText();
-        return std::optional<Value>();
-      },
-      [&] {
-        failure = "the data folder cannot be opened";
-        return std::optional<Value>();
+      [](const storage::Error& error) { return std::optional(error); },
+      [] {
+        return std::optional(
+            storage::Error{.detail = "the data folder cannot be used"});
       });
-  if (!value) throw std::runtime_error(failure);
-  return std::move(*value);
 }
 
 ProposalResult ToProposalResult(consensus::Outcome outcome) {
@@ -99,7 +91,9 @@
 
 Member::Member(Options member_options, Hooks member_hooks)
     : options(std::move(member_options)), hooks(std::move(member_hooks)) {
-  this->OpenStorage();
+  if (const auto error = this->OpenStorage()) {
+    throw std::runtime_error(error->ToText());
+  }
   this->ScheduleTick();
 }
 
@@ -111,6 +105,7 @@
 }
 
 void Member::Tick() {
+  if (!this->disk) return;
   const TimePoint now = Now();
   this->TryBootstrap();
   this->Step(consensus::Tick{});
@@ -122,16 +117,45 @@
   this->ContinueDeparture(now);
 }
 
-void Member::OpenStorage() {
-  const InstanceId& self = this->options.self;
-  this->files = ValueOrThrow(
-      [&] { return storage::OpenFolder(this->options.data_folder); });
-  this->disk = ValueOrThrow([&] {
-    return storage::Storage::Open(
-        *this->files,
-        {.instance = self,
-         .new_storage_id = consensus::StorageId(RandomNonZero())});
+std::optional<storage::Error> Member::OpenStorage() {
+  const auto error = ErrorOf([this] { return this->TryOpenStorage(); });
+  if (error && error->kind != storage::ErrorKind::kFull) return error;
+  this->SetDiskFull(error.has_value());
+  if (!error) {
+    this->Recover();
+    return std::nullopt;
+  }
+  this->hooks.run_after(kDiskFullRetryInterval, [this] {
+    if (const auto later = this->OpenStorage()) {
+      this->hooks.on_failure(later->ToText());
+    }
   });
+  return std::nullopt;
+}
+
+wire::leaf::result<void> Member::TryOpenStorage() {
+  if (!this->files) {
+    BOOST_LEAF_ASSIGN(this->files,
+                      storage::OpenFolder(this->options.data_folder));
+  }
+  BOOST_LEAF_ASSIGN(
+      this->disk,
+      storage::Storage::Open(
+          *this->files,
+          {.instance = this->options.self,
+           .new_storage_id = consensus::StorageId(RandomNonZero())}));
+  return {};
+}
+
+bool Member::SetDiskFull(bool full) {
+  if (this->disk_full == full) return false;
+  this->disk_full = full;
+  events::Log({.number = full ? events::Number::kDiskFull
+                              : events::Number::kDiskWritable});
+  return true;
+}
+
+void Member::Recover() {
   const storage::RecoveryReport& report = this->disk->report();
   events::Log({.number = events::Number::kLogRecovered,
                .duration = report.duration,
@@ -153,7 +177,7 @@
       .leaderless_election_timeout = this->options.leaderless_election_timeout,
       .announce_interval = this->options.announce_interval};
   for (const InstanceId& peer : this->options.peers) {
-    if (peer != self) consensus_options.peers.push_back(peer);
+    if (peer != this->options.self) consensus_options.peers.push_back(peer);
   }
   this->state = consensus::Start(std::move(consensus_options),
                                  std::move(recovered), Now());
@@ -238,29 +262,17 @@
 
 void Member::Flush() {
   this->flush_scheduled = false;
-  std::string failure;
-  const auto flushed = wire::leaf::try_handle_all(
-      [&]() -> wire::leaf::result<std::optional<storage::FlushResult>> {
-        BOOST_LEAF_AUTO(result, this->disk->Flush());
-        return std::optional<storage::FlushResult>(result);
-      },
-      [&](const storage::Error& error) {
-        failure = error.ToText();
-        return std::optional<storage::FlushResult>();
-      },
-      [&] {
-        failure = "writing to the data folder failed";
-        return std::optional<storage::FlushResult>();
-      });
-  if (!flushed) return this->hooks.on_failure(failure);
-  if (flushed->disk_full != this->disk_full) {
-    this->disk_full = flushed->disk_full;
-    events::Log({.number = flushed->disk_full ? events::Number::kDiskFull
-                                              : events::Number::kDiskWritable});
-    this->Step(consensus::StorageFull{.full = flushed->disk_full});
+  storage::FlushResult flushed;
+  const auto error = ErrorOf([&]() -> wire::leaf::result<void> {
+    BOOST_LEAF_ASSIGN(flushed, this->disk->Flush());
+    return {};
+  });
+  if (error) return this->hooks.on_failure(error->ToText());
+  if (this->SetDiskFull(flushed.disk_full)) {
+    this->Step(consensus::StorageFull{.full = flushed.disk_full});
   }
-  if (flushed->disk_full) this->ScheduleFlush(kDiskFullRetryInterval);
-  this->Step(consensus::Persisted{.ticket = flushed->synced});
+  if (flushed.disk_full) this->ScheduleFlush(kDiskFullRetryInterval);
+  this->Step(consensus::Persisted{.ticket = flushed.synced});
 }
 
 void Member::TakeSnapshot() {
@@ -326,6 +338,7 @@
 }
 
 void Member::Propose(std::vector<std::string> entries, ProposalDone done) {
+  if (!this->disk) return done(ProposalResult::kDiskFull, LogIndex());
   const consensus::ProposalTag tag(this->next_tag++);
   this->pending_proposals[tag] = {.done = std::move(done),
                                   .deadline = Now() + kProposalTimeout};
@@ -333,12 +346,14 @@
 }
 
 void Member::Confirm(ConfirmDone done) {
+  if (!this->disk) return done(false, TimePoint());
   const consensus::ConfirmationTag tag(this->next_tag++);
   this->pending_confirmations[tag] = std::move(done);
   this->Step(consensus::ConfirmLeadership{.tag = tag});
 }
 
 void Member::OnMessage(const wire::Opened& opened) {
+  if (!this->disk) return;
   switch (opened.packet.kind) {
     case wire::Kind::kConsensus:
       return this->OnConsensusMessage(opened);
@@ -366,6 +381,7 @@
 
 std::vector<Voter> Member::voters() const {
   std::vector<Voter> voters;
+  if (!this->disk) return voters;
   for (const MemberId& member :
        consensus::CurrentMembership(this->state).membership.voters) {
     voters.push_back(
@@ -375,6 +391,7 @@
 }
 
 std::vector<InstanceId> Member::members() const {
+  if (!this->disk) return {};
   const consensus::Membership& membership =
       consensus::CurrentMembership(this->state).membership;
   std::vector<InstanceId> members;
--- a/samphirebank/replication/replication.h
+++ b/samphirebank/replication/replication.h
@@ -139,8 +139,10 @@
 };
 
 // MakeReplication opens the data folder, recovers its contents, which may call
-// Hooks::restore, and starts the member. Throws std::runtime_error if the
-// folder cannot be opened or recovered.
+// Hooks::restore, and starts the member. If the disk is full and the folder
+// still lacks files, it does so later, once there is room; until then the
+// member has no part in the group. Throws std::runtime_error if the folder
+// cannot be opened or recovered.
 std::unique_ptr<Replication> MakeReplication(Options options, Hooks hooks);
 
 }  // namespace samphirebank::replication
--- a/samphirebank/testing/processes.cc
+++ b/samphirebank/testing/processes.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/un.h>
 #include <sys/wait.h>
@@ -31,6 +32,19 @@
 constexpr int kPortEnd = 32'000;
 constexpr int kPortStride = 101;
 
+// SetFileLimit limits the size of the files that a process may write; pid 0 is
+// this process.
+void SetFileLimit(pid_t process, bool full) {
+  rlimit limit{};
+  if (prlimit(process, RLIMIT_FSIZE, nullptr, &limit) != 0) {
+    throw std::runtime_error("the limit on file sizes cannot be read");
+  }
+  limit.rlim_cur = full ? 1 : limit.rlim_max;
+  if (prlimit(process, RLIMIT_FSIZE, &limit, nullptr) != 0) {
+    throw std::runtime_error("the limit on file sizes cannot be set");
+  }
+}
+
 sockaddr_in Loopback(uint16_t port) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -131,6 +145,10 @@
   std::filesystem::remove_all(this->location, ignored);
 }
 
+FullDiskAtStart::FullDiskAtStart() { SetFileLimit(0, true); }
+
+FullDiskAtStart::~FullDiskAtStart() { SetFileLimit(0, false); }
+
 Process::Process(std::vector<std::string> words,
                  std::vector<std::string> environment) {
   const std::vector<char*> arguments = Pointers(words);
@@ -155,6 +173,10 @@
   if (this->id != 0) kill(this->id, signal);
 }
 
+void Process::FillDisk() const { SetFileLimit(this->id, true); }
+
+void Process::FreeDisk() const { SetFileLimit(this->id, false); }
+
 int Process::Wait() {
   if (this->id == 0) return -1;
   int status = 0;
--- a/samphirebank/testing/processes.h
+++ b/samphirebank/testing/processes.h
@@ -39,6 +39,16 @@
   std::string location;
 };
 
+// FullDiskAtStart makes the programs that are started during its life begin as
+// after Process::FillDisk. The test must write no files meanwhile.
+class FullDiskAtStart {
+ public:
+  FullDiskAtStart();
+  ~FullDiskAtStart();
+  FullDiskAtStart(const FullDiskAtStart&) = delete;
+  FullDiskAtStart& operator=(const FullDiskAtStart&) = delete;
+};
+
 // Process is a running program, killed when the object goes.
 class Process {
  public:
@@ -53,6 +63,10 @@
   // Ended says whether the program has ended, without waiting.
   bool Ended();
   pid_t pid() const { return this->id; }
+  // FillDisk makes the program's writes beyond the first byte of a file fail,
+  // as on a full disk, until FreeDisk.
+  void FillDisk() const;
+  void FreeDisk() const;
   // descriptors counts the program's open files and sockets.
   int descriptors() const;
   // resident_mib is the memory that the program occupies.
