A leader whose disk is full hands over to a member that has room

Cause: a full disk refuses proposals at the leader, but leaves it the lead, and the others have a live leader.

Ruled out: stepping down at once, or on a flag in the replies. Where all disks are full the leader must stay, since leases and reads hang on it, and a member that has not written yet doesn't know that its disk is full.

Change: a leader with a full disk resigns once a quorum has committed what its own disk has not taken; if there is nothing, it appends a no-op. It tells all members (Resignation), so they have no live leader any more, and the voter with the most of the log starts an election at once. Coordinators and control share this.

"full disks refuse changes; leases go on" and the consensus case "a leader stays while a quorum has no room" guard the other side.

--- a/samphirebank/consensus/consensus.h
+++ b/samphirebank/consensus/consensus.h
@@ -266,9 +266,22 @@
   }
 };
 
+// Resignation is sent to all members by a leader that steps down, so that they
+// elect another one without waiting for the election timeout. `successor` has
+// the whole committed log and starts an election at once.
+struct Resignation {
+  MemberId successor{};
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(successor);
+  }
+};
+
 // Body is the content of a Message.
-using Body = std::variant<Announce, VoteRequest, VoteReply, AppendRequest,
-                          AppendReply, SnapshotChunk, SnapshotReply>;
+using Body =
+    std::variant<Announce, VoteRequest, VoteReply, AppendRequest, AppendReply,
+                 SnapshotChunk, SnapshotReply, Resignation>;
 
 // Message is sent from one member to another. The network may lose, duplicate,
 // delay and reorder messages.
@@ -303,8 +316,9 @@
 };
 
 // StorageFull reports whether the disk is full. While it is, proposals are
-// refused and the member does not start elections. A follower that has room
-// again requests the entries that it had to refuse.
+// refused and the member does not start elections. A leader resigns once a
+// quorum has committed an entry that its own disk could not take. A follower
+// that has room again requests the entries that it had to refuse.
 struct StorageFull {
   bool full = false;
 };
--- a/samphirebank/consensus/consensus_test.cc
+++ b/samphirebank/consensus/consensus_test.cc
@@ -418,6 +418,66 @@
   CHECK(group.max_message_bytes < net::kMaxPeerMessage / 2);
 }
 
+// Guards against a group that refuses every change while a quorum has room: a
+// leader whose disk was full kept the lead.
+TEST_CASE("a leader whose disk is full hands over to a member that has room") {
+  Group group(5, 5);
+  const size_t old_leader = group.Leader();
+  group.full.insert(old_leader);
+  // The change that shows the full disk is accepted by the others.
+  CHECK(group.Propose(old_leader, "x") == Outcome::kCommitted);
+  group.AdvanceTime(milliseconds(100));
+  const size_t successor = group.Leader();
+  REQUIRE(successor != old_leader);
+  CHECK(group.Propose(successor, "y") == Outcome::kCommitted);
+  CHECK(group.Propose(old_leader, "z") == Outcome::kNotLeader);
+  group.MakeRoom(old_leader);
+  group.AdvanceTime(seconds(2));
+  CHECK(group.members[old_leader].commit_index ==
+        group.members[successor].commit_index);
+  CHECK(group.Leader() == successor);
+}
+
+// Guards against the same where only a snapshot did not fit: no entry shows
+// that others have room.
+TEST_CASE("a leader with a full disk and nothing to commit hands over too") {
+  Group group(3, 3);
+  const size_t old_leader = group.Leader();
+  group.full.insert(old_leader);
+  group.Deliver(old_leader, StorageFull{.full = true});
+  group.AdvanceTime(milliseconds(200));
+  CHECK(group.Leader() != old_leader);
+}
+
+TEST_CASE("disks that are full one after another refuse no change for long") {
+  Group group(3, 3);
+  for (int round = 0; round < 9; ++round) {
+    const size_t full = static_cast<size_t>(round) % 3;
+    CAPTURE(round);
+    group.full.insert(full);
+    group.AdvanceTime(milliseconds(100));
+    group.Propose(group.Leader(), "x");
+    group.AdvanceTime(milliseconds(100));
+    CHECK(group.Propose(group.Leader(), "y") == Outcome::kCommitted);
+    group.AdvanceTime(seconds(3));
+    group.MakeRoom(full);
+    // The next disk is full at once; this member has to take part by then.
+  }
+}
+
+// Guards against leases that end: without a quorum that has room, nobody else
+// could lead.
+TEST_CASE("a leader stays while a quorum has no room") {
+  Group group(3, 3);
+  const size_t leader = group.Leader();
+  for (size_t i = 0; i < 3; ++i) group.full.insert(i);
+  group.Propose(leader, "x");
+  group.AdvanceTime(seconds(5));
+  CHECK(group.Leader() == leader);
+  for (size_t i = 0; i < 3; ++i) group.MakeRoom(i);
+  CHECK(group.Propose(leader, "y") == Outcome::kCommitted);
+}
+
 // Guards against a change that waits for a resend timeout: where a snapshot was
 // what did not fit, no held reply tells the leader that there is room again.
 TEST_CASE("a follower whose disk has room again gets what it refused at once") {
--- a/samphirebank/consensus/election.cc
+++ b/samphirebank/consensus/election.cc
@@ -62,6 +62,13 @@
   }
 }
 
+// CanCampaign reports whether this member could lead: it has a vote, and room
+// for the term and the log.
+bool CanCampaign(const State& state) {
+  return !state.storage_full &&
+         CurrentMembership(state).membership.IsVoter(state.options.self);
+}
+
 // ElectionTimeout returns the base of the randomized election deadline. While
 // no leader is known, it starts at leaderless_election_timeout and doubles with
 // each consecutive lost election after the first, up to election_timeout.
@@ -154,14 +161,25 @@
   State& state = context.state;
   if (context.now < state.election_deadline) return;
   if (state.role == Role::kCandidate) ++state.num_lost_elections;
-  const Membership& membership = CurrentMembership(state).membership;
-  const bool can_campaign =
-      !state.storage_full && membership.IsVoter(state.options.self);
+  const bool can_campaign = CanCampaign(state);
   if (can_campaign) state.leader.reset();
   ResetElectionDeadline(context);
   if (can_campaign) StartPreVote(context);
 }
 
+void HandleResignation(Context& context, const Message& message,
+                       const Resignation& resignation) {
+  State& state = context.state;
+  const bool is_from_leader = state.role == Role::kFollower &&
+                              state.leader == message.from &&
+                              state.hard_state.term == message.term;
+  if (!is_from_leader) return;
+  BecomeFollower(context, message.term, {});
+  if (resignation.successor == state.options.self && CanCampaign(state)) {
+    StartPreVote(context);
+  }
+}
+
 bool HasLiveLeader(const Context& context) {
   const State& state = context.state;
   if (state.role == Role::kLeader) return true;
--- a/samphirebank/consensus/internal/core.h
+++ b/samphirebank/consensus/internal/core.h
@@ -93,6 +93,10 @@
                     std::optional<MemberId> leader);
 // ElectionTick starts a pre-vote if the election deadline has passed.
 void ElectionTick(Context& context);
+// HandleResignation forgets the leader that resigned, and starts an election if
+// this member is its successor.
+void HandleResignation(Context& context, const Message& message,
+                       const Resignation& resignation);
 // HasLiveLeader reports whether this member leads, or received a message from
 // the leader within the election timeout.
 bool HasLiveLeader(const Context& context);
@@ -105,8 +109,9 @@
 
 // BecomeLeader appends the no-op of the term and starts to replicate.
 void BecomeLeader(Context& context);
-// LeaderTick steps down if no quorum has replied within the election timeout.
-// Otherwise it resends stalled messages, and sends heartbeats if they are due.
+// LeaderTick steps down if no quorum has replied within the election timeout,
+// or if the disk is full and other members have room. Otherwise it resends
+// stalled messages, and sends heartbeats if they are due.
 void LeaderTick(Context& context);
 // UpdateTrackedMembers adds and removes Progress records so that there is one
 // for each other member of the current membership.
--- a/samphirebank/consensus/leader.cc
+++ b/samphirebank/consensus/leader.cc
@@ -3,18 +3,65 @@
 namespace samphirebank::consensus::internal {
 namespace {
 
+bool RepliedRecently(const Context& context, const Progress& progress) {
+  return context.now - progress.last_reply_at <
+         context.state.options.election_timeout;
+}
+
 bool HasRecentQuorum(const Context& context) {
   const State& state = context.state;
   auto replied_recently = [&](const MemberId& member) {
     if (member == state.options.self) return true;
     auto found = state.progress.find(member);
     return found != state.progress.end() &&
-           context.now - found->second.last_reply_at <
-               state.options.election_timeout;
+           RepliedRecently(context, found->second);
   };
   return HasQuorum(CurrentMembership(state).membership, replied_recently);
 }
 
+// FindSuccessor returns the voter with the most of the log among those that
+// hold all committed entries; nullopt if there is none.
+std::optional<MemberId> FindSuccessor(const Context& context) {
+  const State& state = context.state;
+  std::optional<MemberId> best;
+  LogIndex best_index;
+  for (const MemberId& voter : CurrentMembership(state).membership.voters) {
+    const auto found = state.progress.find(voter);
+    if (found == state.progress.end()) continue;
+    const Progress& progress = found->second;
+    const bool is_suitable = RepliedRecently(context, progress) &&
+                             progress.match_index >= state.commit_index;
+    if (!is_suitable) continue;
+    if (best && progress.match_index <= best_index) continue;
+    best = voter;
+    best_index = progress.match_index;
+  }
+  return best;
+}
+
+void Resign(Context& context, const MemberId& successor) {
+  for (const auto& [member, progress] : context.state.progress) {
+    Send(context, member, Resignation{.successor = successor});
+  }
+  BecomeFollower(context, context.state.hard_state.term, {});
+}
+
+// ResignIfOthersHaveRoom resigns if a quorum has committed what this member's
+// full disk could not take, which shows that others have room. Without an entry
+// that shows it, it appends a no-op. If all disks are full, the leader stays,
+// so that reads and leases go on.
+void ResignIfOthersHaveRoom(Context& context) {
+  State& state = context.state;
+  if (state.commit_index > state.synced_index) {
+    const auto successor = FindSuccessor(context);
+    if (successor) Resign(context, *successor);
+    return;
+  }
+  if (LastIndex(state) > state.synced_index) return;
+  AppendEntry(context, {.index = LastIndex(state).Next(),
+                        .term = state.hard_state.term});
+}
+
 void ResendStalledAppends(Context& context) {
   const State& state = context.state;
   for (auto& [member, progress] : context.state.progress) {
@@ -73,6 +120,10 @@
     BecomeFollower(context, state.hard_state.term, {});
     return;
   }
+  if (state.storage_full) {
+    ResignIfOthersHaveRoom(context);
+    if (state.role != Role::kLeader) return;
+  }
   ResendStalledAppends(context);
   Replicate(context);
   if (context.now >= state.next_heartbeat) SendHeartbeats(context);
--- a/samphirebank/consensus/step.cc
+++ b/samphirebank/consensus/step.cc
@@ -85,6 +85,10 @@
     HandleVoteRequest(context, message, *request);
     return;
   }
+  if (const auto* resigned = std::get_if<Resignation>(&message.body)) {
+    HandleResignation(context, message, *resigned);
+    return;
+  }
   if (!IsFromLeader(message)) {
     HandleReply(context, message);
     return;
--- a/samphirebank/control/faults_process_test.cc
+++ b/samphirebank/control/faults_process_test.cc
@@ -179,6 +179,24 @@
   group.CheckContracts(accepted);
 }
 
+// Guards against a group that refuses every change while a quorum has room: a
+// leader whose disk was full kept the lead.
+TEST_CASE("full disks one after another: changes go on") {
+  ControlGroup group(SAMPHIREBANK_BINARY);
+  constexpr int kRounds = 6;
+  for (int i = 0; i < kRounds; ++i) {
+    ControlInstance& full = group.Leader();
+    full.process->FillDisk();
+    const testing::OperatorRequest put =
+        PutContract(i, "org" + std::to_string(i));
+    const auto begin = std::chrono::steady_clock::now();
+    REQUIRE(group.Ask(put).status == 200);
+    CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(5));
+    full.process->FreeDisk();
+  }
+  group.CheckContracts(kRounds);
+}
+
 // Guards against an instance that ends since its disk is full when it starts.
 TEST_CASE("an instance that starts on an empty full disk joins later") {
   ControlGroup group(SAMPHIREBANK_BINARY);
