The wait for an overdue table no longer starts anew with each version

Cause: ShouldIncludeTable asks another coordinator once a newer table has been announced for 0.5 s, and Merge set that moment anew with each newer version. The cut-off coordinator answers polls, so it stayed the nearest responsive one, and has nothing newer.

Change: the wait belongs to one version until the gateway has it or a newer one. A coordinator that has not announced the gateway's own version, or an overdue one, is passed over until it has, so further versions cost no wait at all. An overdue table is asked of one coordinator, spread over those at the same distance, and of all after another 0.5 s. BuildPoll goes by the installed version that the follower knows.

--- a/samphirebank/coordinator/server.cc
+++ b/samphirebank/coordinator/server.cc
@@ -155,8 +155,7 @@
   for (const InstanceId& to : follow::TakeDuePolls(this->others, now)) {
     if (to == this->self) continue;
     // Only the members are asked for: the cursor skips all targets.
-    follow::Poll poll =
-        follow::BuildPoll(this->others, to, this->table.version, now);
+    follow::Poll poll = follow::BuildPoll(this->others, to, now);
     poll.is_gateway = false;
     this->peers->Send(this->PeerAddress(to), wire::Encode(poll));
   }
--- a/samphirebank/follow/follow.cc
+++ b/samphirebank/follow/follow.cc
@@ -1,6 +1,10 @@
 #include "samphirebank/follow/follow.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <string>
+#include <tuple>
 #include <utility>
 
 namespace samphirebank::follow {
@@ -24,19 +28,72 @@
          found->second.region == follower.options.region;
 }
 
+int DistanceTo(const Source& source, const Options& options) {
+  if (source.zone == options.zone) return 0;
+  return source.region == options.region ? 1 : 2;
+}
+
+// SpreadHash orders coordinators at the same distance differently for each
+// instance, so that the instances of a zone do not all turn to the same one.
+uint64_t SpreadHash(const Options& options, const InstanceId& coordinator) {
+  const std::string text = options.self.value + '/' + coordinator.value;
+  return XXH3_64bits(text.data(), text.size());
+}
+
+// IsOverdue returns whether a newer table has been outstanding for `limit`.
+bool IsOverdue(const Follower& follower, Duration limit, TimePoint now) {
+  return follower.awaited.version > follower.installed &&
+         now - follower.awaited.announced_at >= limit;
+}
+
+// IsBehind returns whether a coordinator lacks a table that it should have: the
+// instance's own one, or a newer one that is overdue.
+bool IsBehind(const Follower& follower, const Source& source, TimePoint now) {
+  if (source.table_version < follower.installed) return true;
+  return source.table_version < follower.awaited.version &&
+         IsOverdue(follower, follower.options.table_timeout, now);
+}
+
+// TableSource returns the coordinator that should send newer tables: the
+// nearest responsive one that is not behind. If all are behind, it returns the
+// nearest responsive one; nullopt if there is none.
+std::optional<InstanceId> TableSource(const Follower& follower, TimePoint now) {
+  const Options& options = follower.options;
+  std::optional<InstanceId> best;
+  std::tuple<int, uint64_t> best_rank;
+  for (const auto& [id, source] : follower.sources) {
+    if (!IsResponsive(source, options, now)) continue;
+    if (IsBehind(follower, source, now)) continue;
+    const std::tuple rank(DistanceTo(source, options), SpreadHash(options, id));
+    if (best && rank >= best_rank) continue;
+    best = id;
+    best_rank = rank;
+  }
+  return best ? best : NearestResponsive(follower, now);
+}
+
 // ShouldIncludeTable returns whether a coordinator should send a table newer
-// than the follower's own. That is the nearest coordinator, and every
-// coordinator once the newest table has been outstanding for table_timeout. An
-// instance without a table cannot serve requests, so it requests its first
-// table from every coordinator of its region.
+// than the follower's own. That is the table source, and every coordinator once
+// the source had its time too. An instance without a table cannot serve
+// requests, so it requests its first table from every coordinator of its
+// region.
 bool ShouldIncludeTable(const Follower& follower, const InstanceId& from,
-                        routes::TableVersion own_version, TimePoint now) {
-  const auto nearest = NearestResponsive(follower, now);
-  if (!nearest || *nearest == from) return true;
-  const bool has_no_table = own_version == routes::TableVersion();
+                        TimePoint now) {
+  const auto source = TableSource(follower, now);
+  if (!source || *source == from) return true;
+  const bool has_no_table = follower.installed == routes::TableVersion();
   if (has_no_table && IsInRegion(follower, from)) return true;
-  return follower.newest_table_version > own_version &&
-         now - follower.newest_table_at >= follower.options.table_timeout;
+  return IsOverdue(follower, 2 * follower.options.table_timeout, now);
+}
+
+// RecordAnnouncedTable notes that a coordinator holds the table of `version`.
+void RecordAnnouncedTable(Follower& follower, routes::TableVersion version,
+                          TimePoint now) {
+  if (version <= follower.newest.version) return;
+  follower.newest = {.version = version, .announced_at = now};
+  if (follower.awaited.version <= follower.installed) {
+    follower.awaited = follower.newest;
+  }
 }
 
 void EvictUnresponsive(Follower& follower, TimePoint now) {
@@ -73,10 +130,9 @@
   return due;
 }
 
-Poll BuildPoll(const Follower& follower, const InstanceId& to,
-               routes::TableVersion table, TimePoint now) {
-  Poll poll{.table_version = table,
-            .include_table = ShouldIncludeTable(follower, to, table, now)};
+Poll BuildPoll(const Follower& follower, const InstanceId& to, TimePoint now) {
+  Poll poll{.table_version = follower.installed,
+            .include_table = ShouldIncludeTable(follower, to, now)};
   const auto found = follower.sources.find(to);
   if (found == follower.sources.end()) return poll;
   poll.coordinator_boot = found->second.boot;
@@ -96,16 +152,16 @@
   source.region = update.region;
   source.next_poll =
       std::min(source.next_poll, now + follower.options.poll_interval);
+  source.table_version =
+      same_run ? std::max(source.table_version, update.table_version)
+               : update.table_version;
   if (!stale) {
     source.boot = update.coordinator_boot;
     source.cursor = update.cursor;
   }
   AddMembers(follower, update.members, now);
   follower.num_gateways = std::max<uint32_t>(update.num_gateways, 1);
-  if (update.table_version > follower.newest_table_version) {
-    follower.newest_table_version = update.table_version;
-    follower.newest_table_at = now;
-  }
+  RecordAnnouncedTable(follower, update.table_version, now);
   MergeResult result{.has_more = update.has_more};
   for (const directory::Announcement& announcement : update.announcements) {
     const directory::Effect applied =
@@ -121,6 +177,20 @@
   return result;
 }
 
+void RecordInstalledTable(Follower& follower, const InstanceId& from,
+                          routes::TableVersion version, TimePoint now) {
+  const auto found = follower.sources.find(from);
+  if (found != follower.sources.end()) {
+    Source& source = found->second;
+    source.table_version = std::max(source.table_version, version);
+  }
+  follower.installed = std::max(follower.installed, version);
+  RecordAnnouncedTable(follower, version, now);
+  if (follower.awaited.version <= follower.installed) {
+    follower.awaited = follower.newest;
+  }
+}
+
 std::optional<InstanceId> NearestResponsive(const Follower& follower,
                                             TimePoint now) {
   const Options& options = follower.options;
@@ -128,8 +198,7 @@
   int nearest_distance = 0;
   for (const auto& [id, source] : follower.sources) {
     if (!IsResponsive(source, options, now)) continue;
-    const bool same_region = source.region == options.region;
-    const int distance = source.zone == options.zone ? 0 : same_region ? 1 : 2;
+    const int distance = DistanceTo(source, options);
     if (nearest && distance >= nearest_distance) continue;
     nearest = id;
     nearest_distance = distance;
--- a/samphirebank/follow/follow.h
+++ b/samphirebank/follow/follow.h
@@ -12,10 +12,10 @@
 // Example:
 //
 //   for (const InstanceId& to : TakeDuePolls(follower, now)) {
-//     link.Send(AddressOf(to),
-//               wire::Encode(BuildPoll(follower, to, version, now)));
+//     link.Send(AddressOf(to), wire::Encode(BuildPoll(follower, to, now)));
 //   }
 //   Merge(follower, from, update, directory, now);
+//   RecordInstalledTable(follower, from, table.version, now);
 #ifndef SAMPHIREBANK_FOLLOW_FOLLOW_H_
 #define SAMPHIREBANK_FOLLOW_FOLLOW_H_
 
@@ -92,11 +92,14 @@
 // them, and when it evicts one.
 struct Options {
   std::vector<InstanceId> seeds{};
+  InstanceId self{};
   ZoneId zone{};      // of this instance
   RegionId region{};  // of this instance
   // Route tables are requested from the nearest coordinator, the first one
   // from any coordinator of the region. If a newer table was announced but not
-  // received within this time, it is requested from any coordinator.
+  // received within this time, it is requested from the nearest coordinator
+  // that announced it, and after twice this time from any coordinator. Further
+  // versions that are announced meanwhile do not extend these times.
   Duration table_timeout = std::chrono::milliseconds(500);
   Duration poll_interval = std::chrono::milliseconds(400);
   // Poll interval for coordinators without an update within response_timeout.
@@ -118,6 +121,13 @@
   bool is_seed = false;
   ZoneId zone{};
   RegionId region{};
+  routes::TableVersion table_version{};  // the newest one that it has announced
+};
+
+// AnnouncedTable is a table version and when a coordinator first announced it.
+struct AnnouncedTable {
+  routes::TableVersion version{};
+  TimePoint announced_at{};
 };
 
 // Follower is the state of one instance that follows the coordinators.
@@ -125,10 +135,11 @@
   Options options{};
   std::map<InstanceId, Source> sources{};
   uint32_t num_gateways = 0;  // as reported by the newest update, at least 1
-  // The newest table version that a coordinator announced, and when it was
-  // first announced.
-  routes::TableVersion newest_table_version{};
-  TimePoint newest_table_at{};
+  routes::TableVersion installed{};  // the newest one in use here
+  AnnouncedTable newest{};
+  // The version whose arrival is timed. It stays the same until the instance
+  // has that version or a newer one, however many are announced meanwhile.
+  AnnouncedTable awaited{};
 };
 
 // Start returns a follower whose polls to all seeds are due at once.
@@ -138,10 +149,8 @@
 // polls. It also removes coordinators past options.eviction_delay.
 std::vector<InstanceId> TakeDuePolls(Follower& follower, TimePoint now);
 
-// BuildPoll returns the poll for the coordinator `to`; `table` is the version
-// of this instance's route table.
-Poll BuildPoll(const Follower& follower, const InstanceId& to,
-               routes::TableVersion table, TimePoint now);
+// BuildPoll returns the poll for the coordinator `to`.
+Poll BuildPoll(const Follower& follower, const InstanceId& to, TimePoint now);
 
 // MergeResult lists what an update changed in the directory.
 struct MergeResult {
@@ -155,6 +164,11 @@
                   const Update& update, directory::Directory& directory,
                   TimePoint now);
 
+// RecordInstalledTable records that this instance now uses the table of
+// `version`, which the coordinator `from` sent.
+void RecordInstalledTable(Follower& follower, const InstanceId& from,
+                          routes::TableVersion version, TimePoint now);
+
 // NearestResponsive returns the nearest coordinator with an update within
 // options.response_timeout: one in the same zone, else one in the same region,
 // else any other; nullopt if there is none.
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -29,7 +29,8 @@
 constexpr size_t kMaxSessions = 2000;
 
 follow::Options FollowOptions(const settings::GatewaySettings& settings) {
-  follow::Options options{.zone = settings.identity.zone,
+  follow::Options options{.self = InstanceId(settings.identity.address),
+                          .zone = settings.identity.zone,
                           .region = settings.identity.region};
   for (const net::SocketAddress& seed : settings.seeds) {
     options.seeds.emplace_back(seed.ip);
@@ -192,12 +193,8 @@
 }
 
 void Server::SendPolls(TimePoint now) {
-  const routes::TableVersion version = this->table == nullptr
-                                           ? routes::TableVersion()
-                                           : this->table->table.version;
   for (const InstanceId& to : follow::TakeDuePolls(this->follower, now)) {
-    const follow::Poll poll =
-        follow::BuildPoll(this->follower, to, version, now);
+    const follow::Poll poll = follow::BuildPoll(this->follower, to, now);
     this->peers->Send(this->PeerAddress(to), wire::Encode(poll));
   }
 }
@@ -262,6 +259,7 @@
                .peer = from,
                .revision = Revision(newer.version.value),
                .count = static_cast<int64_t>(newer.routes.size())});
+  follow::RecordInstalledTable(this->follower, from, newer.version, Now());
   this->table = std::make_shared<const routes::RouteIndex>(
       routes::BuildIndex(std::move(newer)));
 }
