The soak fills the disks of the coordinators one after another

Change: the fault "fill disks" lowers the limit on file sizes of each coordinator in turn, and changes the table while each is full, since only a write meets a full disk. It counts as no disturbance: with one full disk of three the promises hold.

--- a/samphirebank/soak/injector.cc
+++ b/samphirebank/soak/injector.cc
@@ -43,6 +43,8 @@
       return this->OnCoordinator(fault);
     case FaultKind::kKillAllCoordinators:
       return this->KillAllCoordinators(fault.lasts);
+    case FaultKind::kFillDisks:
+      return this->FillDisks(fault.lasts);
     case FaultKind::kCrashTarget:
     case FaultKind::kDrainTarget:
     case FaultKind::kMuteTarget:
@@ -139,6 +141,25 @@
   }
 }
 
+// FillDisks fills the disks of the coordinators in turn, and changes the table
+// while each is full, since only a write meets a full disk. It disturbs nobody:
+// with one full disk at a time, the promises of the control group hold.
+void Injector::FillDisks(Duration lasts) {
+  const size_t count = this->fleet.coordinators.size();
+  const Duration each = lasts / count;
+  for (size_t i = 0; i < count; ++i) {
+    const Node& node = this->fleet.coordinators[i];
+    After(this->world, i * each, [&node] {
+      if (node.is_expected_up) node.process->FillDisk();
+    });
+    After(this->world, i * each + each / 4,
+          [this] { this->operators.ChangeTable(); });
+    After(this->world, (i + 1) * each, [&node] {
+      if (node.is_expected_up) node.process->FreeDisk();
+    });
+  }
+}
+
 void Injector::OnTarget(const Fault& fault) {
   Target& target = *this->targets[fault.subject % this->targets.size()];
   switch (fault.kind) {
--- a/samphirebank/soak/internal/injector.h
+++ b/samphirebank/soak/internal/injector.h
@@ -30,6 +30,7 @@
   void ShutDown(size_t gateway);
   void OnCoordinator(const Fault& fault);
   void KillAllCoordinators(Duration lasts);
+  void FillDisks(Duration lasts);
   void OnTarget(const Fault& fault);
   void OnLink(const Fault& fault);
   void Disturb(std::optional<size_t> gateway, Duration lasts, bool is_planned);
--- a/samphirebank/soak/internal/plan.h
+++ b/samphirebank/soak/internal/plan.h
@@ -24,6 +24,7 @@
   kFreezeCoordinator,
   kWipeCoordinator,      // killed, and started again without its data
   kKillAllCoordinators,  // at the same moment
+  kFillDisks,            // of the coordinators, one after another
   kCrashTarget,
   kDrainTarget,   // leaves as planned, and comes back as a new run
   kMuteTarget,    // reads requests and never answers
@@ -37,7 +38,7 @@
   kRaceTables,  // two tables at once, to two coordinators
   kSendInvalidTable,
 };
-inline constexpr size_t kFaultKinds = 20;
+inline constexpr size_t kFaultKinds = 21;
 
 // NameOf returns the fault's name in print.
 std::string_view NameOf(FaultKind kind);
@@ -59,6 +60,7 @@
   Duration mean_gap = std::chrono::milliseconds(500);
   Duration shortest = std::chrono::milliseconds(300);
   Duration longest = std::chrono::milliseconds(4000);
+  uint32_t disks_in_series = 3;  // each is full for as long as a fault lasts
   // A member of the control group that was lost has caught up by then; only
   // then the next one may be lost.
   Duration catch_up = std::chrono::seconds(4);
--- a/samphirebank/soak/plan.cc
+++ b/samphirebank/soak/plan.cc
@@ -26,11 +26,11 @@
   static constexpr std::array<std::string_view, kFaultKinds> kNames = {
       "kill gateway",     "freeze gateway",    "shut down gateway",
       "hang up gateway",  "kill coordinator",  "freeze coordinator",
-      "wipe coordinator", "kill coordinators", "crash target",
-      "drain target",     "mute target",       "break target",
-      "refuse target",    "reset links",       "silence links",
-      "cut answers",      "delay links",       "change table",
-      "race tables",      "send invalid table"};
+      "wipe coordinator", "kill coordinators", "fill disks",
+      "crash target",     "drain target",      "mute target",
+      "break target",     "refuse target",     "reset links",
+      "silence links",    "cut answers",       "delay links",
+      "change table",     "race tables",       "send invalid table"};
   return kNames[static_cast<size_t>(kind)];
 }
 
@@ -38,7 +38,8 @@
   return kind == FaultKind::kKillCoordinator ||
          kind == FaultKind::kFreezeCoordinator ||
          kind == FaultKind::kWipeCoordinator ||
-         kind == FaultKind::kKillAllCoordinators;
+         kind == FaultKind::kKillAllCoordinators ||
+         kind == FaultKind::kFillDisks;
 }
 
 std::vector<Fault> MakePlan(const PlanOptions& options, uint64_t seed) {
@@ -48,12 +49,16 @@
   Duration at{};
   for (;;) {
     at += Between(random, Duration::zero(), 2 * options.mean_gap);
-    const Fault fault{
-        .at = at,
-        .lasts = Between(random, options.shortest, options.longest),
-        .kind = static_cast<FaultKind>(Below(random, kFaultKinds)),
-        .subject = static_cast<uint32_t>(random())};
+    Fault fault{.at = at,
+                .lasts = Between(random, options.shortest, options.longest),
+                .kind = static_cast<FaultKind>(Below(random, kFaultKinds)),
+                .subject = static_cast<uint32_t>(random())};
     if (at >= options.length) return plan;
+    if (fault.kind == FaultKind::kFillDisks) {
+      // Every fault has ended `longest` after the plan.
+      fault.lasts = std::min(options.disks_in_series * fault.lasts,
+                             options.length + options.longest - at);
+    }
     if (HitsCoordinators(fault.kind)) {
       if (at < group_whole_at) continue;
       group_whole_at = at + fault.lasts + options.catch_up;
