A gateway sees its load by the delay of its ticks too

Cause, from the logs of the gateways of one zone: after the closing fault two gateways that started first get most of the zone's connections. front-aqaba-a-27 works off what waits for its accept at about 500 requests a second from 36 s to the end, each turn of its loop some 97 ms long; from 40 s on more than half of them are of callers who left (caller-left right after request-dispatched). It never leaves the rotation, and refuses nothing as overloaded, though front-aqaba-a-22 does both. The busy time is looked at by a timer of 100 ms, at the begin of a turn; where turns last as long, it is always about zero there, so nothing tells that the loop is late.

Ruled out: bytes that stay in the target connection (dispatched and caller-left are 1 ms apart, both at the late moment); a link that is full (requests wait before they are read).

Change: what counts at a tick is the busy time or the delay of the tick itself, if that is longer, up to 150 ms, so that one pause of the process is not taken for lasting load. Callers are looked at before a request is sent on while the last tick was late.

--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -229,7 +229,8 @@
   quarantine::Quarantine quarantine;
   TimePoint evicted_at;  // old evidence of it
   process::BusyClock busy;
-  size_t exchanges = 0;  // requests that are not answered to their end
+  Duration last_delay{};  // at the newest tick
+  size_t exchanges = 0;   // requests that are not answered to their end
   uint64_t answers_begun = 0;
   std::optional<TimePoint> shutdown_at;  // when it began
   std::function<void()> shutdown_done;
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -123,11 +123,13 @@
 }
 
 void Server::WatchOverload(TimePoint now) {
-  Duration busy_time = process::BusyTime(this->busy, now);
+  Duration busy_time =
+      process::TickDelay(this->busy, this->timer.expiry(), now);
   if (const auto stalled = this->callers->stalled_since()) {
     busy_time = std::max(busy_time, now - *stalled);
     this->connections.CloseAll();
   }
+  this->last_delay = busy_time;
   shedding::RecordTick(this->shedding, busy_time);
   if (!rotation::RecordTick(this->rotation, busy_time, now)) return;
   events::Log({.number = this->rotation.is_out ? Number::kRotationLeft
@@ -137,9 +139,10 @@
 }
 
 bool Server::IsLate(TimePoint now) const {
+  const Duration delay =
+      std::max(this->last_delay, process::BusyTime(this->busy, now));
   return rotation::IsOverloaded(this->rotation) ||
-         process::BusyTime(this->busy, now) >=
-             this->rotation.options.leave_threshold;
+         delay >= this->rotation.options.leave_threshold;
 }
 
 bool Server::ShouldShed(const OrganisationId& organisation, uint64_t seed,
--- a/samphirebank/process/process.cc
+++ b/samphirebank/process/process.cc
@@ -2,6 +2,7 @@
 
 #include <sodium.h>
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
 #include <csignal>
@@ -66,6 +67,11 @@
   return clock.busy_since ? now - *clock.busy_since : Duration::zero();
 }
 
+Duration TickDelay(const BusyClock& clock, TimePoint due, TimePoint now) {
+  return std::max(BusyTime(clock, now),
+                  std::min<Duration>(now - due, kMaxTickDelay));
+}
+
 void RunToEnd(boost::asio::io_context& loop, BusyClock& clock) {
   while (!loop.stopped()) {
     loop.poll();
--- a/samphirebank/process/process.h
+++ b/samphirebank/process/process.h
@@ -15,6 +15,7 @@
 #define SAMPHIREBANK_PROCESS_PROCESS_H_
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <string>
@@ -48,6 +49,15 @@
 // BusyTime returns the time since the loop last waited for events.
 Duration BusyTime(const BusyClock& clock, TimePoint now);
 
+// TickDelay returns for how long events have waited unread at a tick of a timer
+// that was due at `due`: the loop's busy time, or the delay of the tick itself
+// if that is longer. Where turns of the loop take about as long as the timer's
+// period, each tick comes at the beginning of a turn, when the busy time is
+// short. A delay counts up to kMaxTickDelay, so that a single pause of the
+// process is not taken for lasting load.
+Duration TickDelay(const BusyClock& clock, TimePoint due, TimePoint now);
+inline constexpr Duration kMaxTickDelay = std::chrono::milliseconds(150);
+
 // RunToEnd runs `loop` until it is stopped and keeps `clock` up to date.
 void RunToEnd(boost::asio::io_context& loop, BusyClock& clock);
 
