--- a/samphirebank/replication/member.cc
+++ b/samphirebank/replication/member.cc
@@ -118,7 +118,7 @@
 }
 
 std::optional<storage::Error> Member::OpenStorage() {
-  const auto error = ErrorOf([this] { return this->TryOpenStorage(); });
+  auto error = ErrorOf([this] { return this->TryOpenStorage(); });
   if (error && error->kind != storage::ErrorKind::kFull) return error;
   this->SetDiskFull(error.has_value());
   if (!error) {
