Links log what they drop, gateways how long they waited for a table

Change: event 801 for messages that need a connection and were not sent; table-in-force says how long the table had been announced.

--- a/samphirebank/events/events.h
+++ b/samphirebank/events/events.h
@@ -111,6 +111,7 @@
   kClaimEnded = 703,
 
   kPacketRefused = 800,
+  kMessageDropped = 801,
 };
 
 // Event is one event with its fields. Fields that are empty are not logged; a
--- a/samphirebank/follow/follow.cc
+++ b/samphirebank/follow/follow.cc
@@ -181,8 +181,11 @@
   return result;
 }
 
-void RecordInstalledTable(Follower& follower, const InstanceId& from,
-                          routes::TableVersion version, TimePoint now) {
+Duration RecordInstalledTable(Follower& follower, const InstanceId& from,
+                              routes::TableVersion version, TimePoint now) {
+  const bool was_awaited = follower.awaited.version > follower.installed;
+  const Duration waited = was_awaited ? now - follower.awaited.announced_at
+                                      : Duration::zero();
   const auto found = follower.sources.find(from);
   if (found != follower.sources.end()) {
     Source& source = found->second;
@@ -193,6 +196,7 @@
   if (follower.awaited.version <= follower.installed) {
     follower.awaited = follower.newest;
   }
+  return waited;
 }
 
 std::optional<InstanceId> NearestResponsive(const Follower& follower,
--- a/samphirebank/follow/follow.h
+++ b/samphirebank/follow/follow.h
@@ -170,8 +170,10 @@
                   TimePoint now);
 
 // RecordInstalledTable records that this instance now uses the table of
-// `version`, which the coordinator `from` sent.
-void RecordInstalledTable(Follower& follower, const InstanceId& from,
+// `version`, which the coordinator `from` sent. Returns for how long a newer
+// table than the one before had been announced; zero if this one was the first
+// to be heard of.
+Duration RecordInstalledTable(Follower& follower, const InstanceId& from,
                           routes::TableVersion version, TimePoint now);
 
 // NearestResponsive returns the nearest coordinator with an update within
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -306,11 +306,13 @@
   const bool is_newer =
       this->table == nullptr || newer.version > this->table->table.version;
   if (!is_newer) return;
+  const Duration waited = follow::RecordInstalledTable(this->follower, from,
+                                                       newer.version, Now());
   events::Log({.number = Number::kTableInForce,
                .peer = from,
                .revision = Revision(newer.version.value),
+               .duration = waited,
                .count = static_cast<int64_t>(newer.routes.size())});
-  follow::RecordInstalledTable(this->follower, from, newer.version, Now());
   this->table = std::make_shared<const routes::RouteIndex>(
       routes::BuildIndex(std::move(newer)));
 }
--- a/samphirebank/link/link.cc
+++ b/samphirebank/link/link.cc
@@ -122,16 +122,29 @@
         [&] { refuse("unknown"); });
   }
 
+  // NoteDropped logs that `size` bytes were not sent.
+  static void NoteDropped(const net::SocketAddress& to, size_t size,
+                          std::string_view reason) {
+    events::Log({.number = events::Number::kMessageDropped,
+                 .bytes = Bytes(static_cast<int64_t>(size)),
+                 .address = to.ToText(),
+                 .reason = std::string(reason)});
+  }
+
   void Transfer(const net::SocketAddress& to, std::string bytes) {
     uint32_t& running = this->transfers[to];
-    if (running >= kMostTransfers) return;
+    if (running >= kMostTransfers) {
+      return NoteDropped(to, bytes.size(), "busy");
+    }
     ++running;
     web::Connect(this->loop, to, kConnectLimit,
                  [this, to, bytes = std::move(bytes)](
                      const std::shared_ptr<web::Connection>& connection,
                      web::ConnectEnd) {
                    --this->transfers[to];
-                   if (connection == nullptr) return;
+                   if (connection == nullptr) {
+                     return NoteDropped(to, bytes.size(), "unreachable");
+                   }
                    connection->Send(bytes);
                    connection->CloseAfterSending();
                  });
