A directory finds changes and owners of an address by indexes

Cause: each heartbeat searched all entries twice, for other owners of its address, and each update all entries for changes after its cursor. Change: indexes by change and by address, kept by the directory's functions.

--- a/samphirebank/directory/directory.cc
+++ b/samphirebank/directory/directory.cc
@@ -39,8 +39,10 @@
 }
 
 void Publish(Directory& directory, Entry& entry, TimePoint now) {
+  directory.by_change.erase(entry.last_change);
   directory.last_change = directory.last_change.Next();
   entry.last_change = directory.last_change;
+  directory.by_change[entry.last_change] = entry.announcement.id;
   entry.published_at = now;
   entry.published_cold_until = now + entry.announcement.cold_remaining;
 }
@@ -49,26 +51,42 @@
   return OrderingKey(received) < OrderingKey(entry.announcement);
 }
 
+void RemoveAddress(Directory& directory, const Announcement& announcement) {
+  const auto found = directory.by_address.find(announcement.address);
+  if (found == directory.by_address.end()) return;
+  found->second.erase(announcement.id);
+  if (found->second.empty()) directory.by_address.erase(found);
+}
+
+// OthersAt returns the other targets that announced the same address.
+std::vector<TargetId> OthersAt(const Directory& directory,
+                               const Announcement& received) {
+  const auto found = directory.by_address.find(received.address);
+  if (found == directory.by_address.end()) return {};
+  std::vector<TargetId> others(found->second.begin(), found->second.end());
+  std::erase(others, received.id);
+  return others;
+}
+
 // IsAddressTaken returns whether a later run of another target announced the
 // same address.
 bool IsAddressTaken(const Directory& directory, const Announcement& received) {
-  return std::ranges::any_of(directory.entries, [&](const auto& item) {
-    const Announcement& other = item.second.announcement;
-    return other.id != received.id && other.address == received.address &&
-           other.started_at_ms > received.started_at_ms;
-  });
+  return std::ranges::any_of(
+      OthersAt(directory, received), [&](const TargetId& id) {
+        const Entry& other = directory.entries.at(id);
+        return other.announcement.started_at_ms > received.started_at_ms;
+      });
 }
 
 // RetireEarlierOwners marks the earlier runs of other targets at the same
 // address as gone.
 void RetireEarlierOwners(Directory& directory, const Announcement& received,
                          TimePoint now) {
-  for (auto& [id, entry] : directory.entries) {
+  for (const TargetId& id : OthersAt(directory, received)) {
+    Entry& entry = directory.entries.at(id);
     Announcement& other = entry.announcement;
-    const bool earlier_owner = id != received.id &&
-                               other.address == received.address &&
-                               other.started_at_ms < received.started_at_ms;
-    if (!earlier_owner || other.state == State::kGone) continue;
+    const bool is_earlier = other.started_at_ms < received.started_at_ms;
+    if (!is_earlier || other.state == State::kGone) continue;
     other.state = State::kGone;
     Publish(directory, entry, now);
   }
@@ -90,6 +108,10 @@
                          IsUnchanged(announcement, entry.announcement) &&
                          !ExtendsCold(entry, announcement, now);
   const uint64_t last_sequence = entry.announcement.sequence;
+  if (known && entry.announcement.address != announcement.address) {
+    RemoveAddress(directory, entry.announcement);
+  }
+  directory.by_address[announcement.address].insert(announcement.id);
   entry.announcement = announcement;
   if (same_run) {
     entry.announcement.sequence =
@@ -125,6 +147,8 @@
                               : directory.options.heartbeat_timeout;
     if (now - entry.last_seen < ttl) return false;
     if (!gone) timed_out.push_back(item.first);
+    directory.by_change.erase(entry.last_change);
+    RemoveAddress(directory, entry.announcement);
     return true;
   });
   return timed_out;
@@ -132,18 +156,18 @@
 
 Changes ChangesSince(const Directory& directory, Cursor cursor,
                      size_t max_changes) {
-  std::vector<const Entry*> changed;
-  for (const auto& [id, entry] : directory.entries) {
-    if (entry.last_change > cursor) changed.push_back(&entry);
-  }
-  std::ranges::sort(changed, {}, &Entry::last_change);
-  Changes changes{.cursor = directory.last_change,
-                  .has_more = changed.size() > max_changes};
-  if (changes.has_more) changed.resize(max_changes);
-  for (const Entry* entry : changed) {
-    changes.announcements.push_back(entry->announcement);
+  Changes changes{.cursor = directory.last_change};
+  for (auto next = directory.by_change.upper_bound(cursor);
+       next != directory.by_change.end(); ++next) {
+    if (changes.announcements.size() == max_changes) {
+      changes.has_more = true;
+      break;
+    }
+    changes.announcements.push_back(
+        directory.entries.at(next->second).announcement);
+    changes.cursor = next->first;
   }
-  if (changes.has_more) changes.cursor = changed.back()->last_change;
+  if (!changes.has_more) changes.cursor = directory.last_change;
   return changes;
 }
 
--- a/samphirebank/directory/directory.h
+++ b/samphirebank/directory/directory.h
@@ -26,6 +26,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -99,6 +100,10 @@
   Options options{};
   std::map<TargetId, Entry> entries{};
   Cursor last_change{};  // position of the newest change
+  // Indexes of `entries`, which only the functions below change. A coordinator
+  // searches them for each heartbeat and for each update that it sends.
+  std::map<Cursor, TargetId> by_change{};
+  std::map<net::SocketAddress, std::set<TargetId>> by_address{};
 };
 
 // Effect is what an announcement changed in the directory.
--- a/samphirebank/directory/directory_test.cc
+++ b/samphirebank/directory/directory_test.cc
@@ -1,8 +1,12 @@
 #include "samphirebank/directory/directory.h"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
+#include <algorithm>
 #include <chrono>
+#include <string>
+#include <vector>
 
 namespace samphirebank::directory {
 namespace {
@@ -171,5 +175,52 @@
         Effect::kChanged);
 }
 
+// IdsChangedSince is the naive form of ChangesSince, by a search of all
+// entries.
+std::vector<TargetId> IdsChangedSince(const Directory& directory, Cursor cursor,
+                                      size_t max_changes) {
+  std::vector<const Entry*> changed;
+  for (const auto& [id, entry] : directory.entries) {
+    if (entry.last_change > cursor) changed.push_back(&entry);
+  }
+  std::ranges::sort(changed, {}, &Entry::last_change);
+  changed.resize(std::min(changed.size(), max_changes));
+  std::vector<TargetId> ids;
+  for (const Entry* entry : changed) ids.push_back(entry->announcement.id);
+  return ids;
+}
+
+// Guards against an index that misses a change, or an owner of an address.
+TEST_CASE("the indexes agree with a search of all entries") {
+  CHECK(rc::check([] {
+    Directory directory;
+    TimePoint now = kStart;
+    const int steps = *rc::gen::inRange(1, 80);
+    for (int step = 0; step < steps; ++step) {
+      now += std::chrono::milliseconds(*rc::gen::inRange(0, 4000));
+      Announcement next =
+          MakeAnnouncement(std::to_string(*rc::gen::inRange(0, 6)),
+                           *rc::gen::inRange(1, 5), *rc::gen::inRange(1, 9));
+      next.address.port = static_cast<uint16_t>(*rc::gen::inRange(80, 84));
+      ApplyAnnouncement(directory, next, now);
+      EvictExpired(directory, now);
+      const Cursor cursor(
+          *rc::gen::inRange<uint64_t>(0, directory.last_change.value + 1));
+      const Changes changes = ChangesSince(directory, cursor, 3);
+      std::vector<TargetId> ids;
+      for (const Announcement& changed : changes.announcements) {
+        ids.push_back(changed.id);
+      }
+      RC_ASSERT(ids == IdsChangedSince(directory, cursor, 3));
+      size_t num_owners = 0;
+      for (const auto& [address, owners] : directory.by_address) {
+        num_owners += owners.size();
+      }
+      RC_ASSERT(num_owners == directory.entries.size());
+      RC_ASSERT(directory.by_change.size() == directory.entries.size());
+    }
+  }));
+}
+
 }  // namespace
 }  // namespace samphirebank::directory
--- a/samphirebank/follow/follow.cc
+++ b/samphirebank/follow/follow.cc
@@ -184,8 +184,8 @@
 Duration RecordInstalledTable(Follower& follower, const InstanceId& from,
                               routes::TableVersion version, TimePoint now) {
   const bool was_awaited = follower.awaited.version > follower.installed;
-  const Duration waited = was_awaited ? now - follower.awaited.announced_at
-                                      : Duration::zero();
+  const Duration waited =
+      was_awaited ? now - follower.awaited.announced_at : Duration::zero();
   const auto found = follower.sources.find(from);
   if (found != follower.sources.end()) {
     Source& source = found->second;
--- a/samphirebank/follow/follow.h
+++ b/samphirebank/follow/follow.h
@@ -174,7 +174,7 @@
 // table than the one before had been announced; zero if this one was the first
 // to be heard of.
 Duration RecordInstalledTable(Follower& follower, const InstanceId& from,
-                          routes::TableVersion version, TimePoint now);
+                              routes::TableVersion version, TimePoint now);
 
 // NearestResponsive returns the nearest coordinator with an update within
 // options.response_timeout: one in the same zone, else one in the same region,
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -306,8 +306,8 @@
   const bool is_newer =
       this->table == nullptr || newer.version > this->table->table.version;
   if (!is_newer) return;
-  const Duration waited = follow::RecordInstalledTable(this->follower, from,
-                                                       newer.version, Now());
+  const Duration waited =
+      follow::RecordInstalledTable(this->follower, from, newer.version, Now());
   events::Log({.number = Number::kTableInForce,
                .peer = from,
                .revision = Revision(newer.version.value),
