Sums of loads are sent less often in a large fleet

Change: a sum is sent each 100 ms for each 500 targets, at least each 500 ms, which is half the time after which gateways take sums as stale. Up to 499 targets nothing changes. Measured: fleetload_test bounds the bytes to one receiver; at 3,000 targets 240,000 bytes a second before, 48,000 now.

--- a/samphirebank/coordinator/internal/server.h
+++ b/samphirebank/coordinator/internal/server.h
@@ -82,6 +82,7 @@
     TimePoint polled_at{};
     TimePoint table_sent_at{};
     routes::TableVersion table_sent{};
+    TimePoint load_sent_at{};
     bool is_gateway = true;
     bool takes_table = true;  // newer ones come from this instance
   };
@@ -183,6 +184,7 @@
   std::map<InstanceId, FollowerRecord> followers;
   uint32_t num_gateways = 0;  // that follow, as of the newest tick
   fleetload::Aggregate loads;
+  TimePoint load_shared_at{};  // with the other coordinators
   quarantine::Aggregate evidence;
   warmup::Grantor grantor;
   signoff::Options sign_off_options;
--- a/samphirebank/coordinator/peers.cc
+++ b/samphirebank/coordinator/peers.cc
@@ -19,6 +19,14 @@
 // A table that did not arrive is sent again.
 constexpr Duration kTableResend = milliseconds(400);
 
+// IsSumDue returns whether a sum of loads is sent again. A report or a tick
+// that is a little early counts for the next interval.
+bool IsSumDue(const fleetload::Aggregate& loads, TimePoint sent_at,
+              TimePoint now) {
+  constexpr Duration kTolerance = fleetload::kReportInterval / 2;
+  return now - sent_at >= fleetload::SumInterval(loads) - kTolerance;
+}
+
 }  // namespace
 
 void Server::OnPacket(const wire::Opened& opened) {
@@ -152,9 +160,13 @@
 void Server::AnswerLoad(const InstanceId& from, fleetload::Load load) {
   const TimePoint now = Now();
   fleetload::RecordGatewayLoad(this->loads, from, std::move(load), now);
-  this->peers->Send(this->PeerAddress(from),
-                    wire::Encode(fleetload::LoadSum{
-                        fleetload::SumExcluding(this->loads, from)}));
+  TimePoint& sent_at = this->followers[from].load_sent_at;
+  if (IsSumDue(this->loads, sent_at, now)) {
+    sent_at = now;
+    this->peers->Send(this->PeerAddress(from),
+                      wire::Encode(fleetload::LoadSum{
+                          fleetload::SumExcluding(this->loads, from)}));
+  }
   this->SendEvidence(from, now);
 }
 
@@ -189,6 +201,8 @@
 void Server::ShareLoad(TimePoint now) {
   fleetload::EvictStale(this->loads, now);
   if (this->loads.gateways.empty()) return;
+  if (!IsSumDue(this->loads, this->load_shared_at, now)) return;
+  this->load_shared_at = now;
   const fleetload::LoadShare share{fleetload::SumOfGateways(this->loads, now)};
   for (const InstanceId& member : this->replication->members()) {
     if (member == this->self) continue;
--- a/samphirebank/fleetload/fleetload.cc
+++ b/samphirebank/fleetload/fleetload.cc
@@ -111,6 +111,15 @@
   return TotalOf(sum);
 }
 
+Duration SumInterval(const Aggregate& aggregate) {
+  // Targets whose sums are sent at each report.
+  constexpr size_t kTargetsPerInterval = 500;
+  const size_t num_intervals =
+      1 + aggregate.total_prefill_ms.size() / kTargetsPerInterval;
+  return std::min<Duration>(num_intervals * kReportInterval,
+                            kLoadReportTtl / 2);
+}
+
 void EvictStale(Aggregate& aggregate, TimePoint now) {
   const auto evict = [&](const auto& item) {
     if (IsFresh(item.second, now)) return false;
--- a/samphirebank/fleetload/fleetload.h
+++ b/samphirebank/fleetload/fleetload.h
@@ -142,6 +142,13 @@
 // coordinator. Stale reports are ignored.
 Load SumOfGateways(const Aggregate& aggregate, TimePoint now);
 
+// SumInterval returns how often a sum is sent to one receiver. It is longer for
+// a large fleet, so that the bytes per second are bounded, and at most half of
+// kLoadReportTtl.
+Duration SumInterval(const Aggregate& aggregate);
+// kReportInterval is the interval of small sums, and of the reports.
+inline constexpr Duration kReportInterval = std::chrono::milliseconds(100);
+
 // EvictStale removes stale reports.
 void EvictStale(Aggregate& aggregate, TimePoint now);
 
--- a/samphirebank/fleetload/fleetload_test.cc
+++ b/samphirebank/fleetload/fleetload_test.cc
@@ -50,6 +50,27 @@
   CHECK(aggregate.gateways.empty());
 }
 
+// Guards against coordinators that are busy with sums: those of 3,000 targets
+// for 50 gateways took 10 MB/s of one coordinator.
+TEST_CASE("the bytes of the sums of a large fleet are bounded") {
+  constexpr double kMaxBytesPerSecond = 60'000;  // to one receiver
+  constexpr double kBytesPerTarget = 8;
+  for (const IdHash num_targets : {100U, 1'000U, 3'000U}) {
+    CAPTURE(num_targets);
+    Aggregate aggregate;
+    Load load;
+    for (IdHash target = 0; target < num_targets; ++target) {
+      load.targets.push_back({.target = target, .prefill_ms = 1});
+    }
+    RecordGatewayLoad(aggregate, InstanceId("g1"), load, kStart);
+    const std::chrono::duration<double> interval = SumInterval(aggregate);
+    CHECK(num_targets * kBytesPerTarget / interval.count() <=
+          kMaxBytesPerSecond);
+    CHECK(SumInterval(aggregate) < kLoadReportTtl);
+    if (num_targets == 100) CHECK(SumInterval(aggregate) == kReportInterval);
+  }
+}
+
 // Guards against a total that drifts from the reports that it sums.
 TEST_CASE("the running total is the sum of the reports that are kept") {
   CHECK(rc::check([] {
