Packet numbers are counted for each receiver and transport

Cause: the replay window of 64 packets counted all that a sender sent to anyone. A coordinator of 291 gateways sends over a thousand datagrams a second, so a datagram that another one of the next 45 ms overtook was refused as replayed, and a route table or a log entry on a connection likewise. Change: a packet names its channel, the receiver and the transport, and each channel has its own numbers and its own window, as a security association has in IPsec. The protocol version is 4, since the head has four bytes more. Measured: link_test failed before ("a message overtaken by another is taken, whatever others were sent"); control and router process tests pass.

--- a/samphirebank/control/server.cc
+++ b/samphirebank/control/server.cc
@@ -334,7 +334,11 @@
   const events::Stamp stamp = events::CurrentStamp();
   packet.clock_ms = stamp.wall_ms;
   packet.clock_logical = stamp.logical;
-  const std::string bytes = this->sealer.Seal(packet);
+  const bool fits = packet.payload.size() <= net::kMaxDatagramPayload;
+  const std::string bytes = this->sealer.Seal(
+      packet, {.receiver = to.ToText(),
+               .transport = fits ? wire::Transport::kDatagram
+                                 : wire::Transport::kConnection});
   this->metrics.packets_sent.Add(1);
   this->metrics.packet_bytes_sent.Add(bytes.size());
   this->peers->Send(to, bytes);
--- a/samphirebank/follow/follow_test.cc
+++ b/samphirebank/follow/follow_test.cc
@@ -322,12 +322,11 @@
          .sequence = ~0ULL,
          .cold_remaining = milliseconds(3000)});
   }
-  // The seal and the names of a packet take up to 128 bytes.
-  CHECK(wire::Encode(update).payload.size() <= net::kMaxDatagram - 128);
+  CHECK(wire::Encode(update).payload.size() <= net::kMaxDatagramPayload);
   update.announcements.clear();
   update.renewed.resize(kMaxAnnouncements *
                         directory::kRenewalsPerAnnouncement);
-  CHECK(wire::Encode(update).payload.size() <= net::kMaxDatagram - 128);
+  CHECK(wire::Encode(update).payload.size() <= net::kMaxDatagramPayload);
 }
 
 }  // namespace
--- a/samphirebank/link/link.cc
+++ b/samphirebank/link/link.cc
@@ -41,8 +41,7 @@
       : loop(event_loop),
         options(std::move(given)),
         datagrams(event_loop),
-        datagram_sealer(this->options.key, this->options.self, RandomBoot()),
-        transfer_sealer(this->options.key, this->options.self, RandomBoot()),
+        sealer(this->options.key, this->options.self, RandomBoot()),
         opener(this->options.key),
         listener(event_loop, this->options.address,
                  [this](const std::shared_ptr<web::Connection>& connection) {
@@ -131,12 +130,15 @@
                  .reason = std::string(reason)});
   }
 
-  void Transfer(const net::SocketAddress& to, std::string bytes) {
+  void Transfer(const net::SocketAddress& to, const wire::Packet& packet) {
     uint32_t& running = this->transfers[to];
     if (running >= kMostTransfers) {
-      return NoteDropped(to, bytes.size(), "busy");
+      return NoteDropped(to, packet.payload.size(), "busy");
     }
     ++running;
+    std::string bytes = this->sealer.Seal(
+        packet,
+        {.receiver = to.ToText(), .transport = wire::Transport::kConnection});
     web::Connect(this->loop, to, kConnectLimit,
                  [this, to, bytes = std::move(bytes)](
                      const std::shared_ptr<web::Connection>& connection,
@@ -153,9 +155,7 @@
   asio::io_context& loop;
   Options options;
   udp::socket datagrams;
-  // The two ways have numbers of their own: one overtakes the other.
-  wire::Sealer datagram_sealer;
-  wire::Sealer transfer_sealer;
+  wire::Sealer sealer;
   wire::Opener opener;
   web::Listener listener;
   std::map<net::SocketAddress, uint32_t> transfers;
@@ -170,11 +170,11 @@
   const events::Stamp stamp = events::CurrentStamp();
   packet.clock_ms = stamp.wall_ms;
   packet.clock_logical = stamp.logical;
-  const size_t room = net::kMaxDatagram - 128;  // for the seal and the names
-  if (packet.payload.size() > room) {
-    return this->impl->Transfer(to, this->impl->transfer_sealer.Seal(packet));
+  if (packet.payload.size() > net::kMaxDatagramPayload) {
+    return this->impl->Transfer(to, packet);
   }
-  const std::string bytes = this->impl->datagram_sealer.Seal(packet);
+  const std::string bytes =
+      this->impl->sealer.Seal(packet, {.receiver = to.ToText()});
   const udp::endpoint endpoint(asio::ip::make_address_v4(to.ip), to.port);
   error_code error;
   this->impl->datagrams.send_to(asio::buffer(bytes), endpoint, 0, error);
--- a/samphirebank/link/link_test.cc
+++ b/samphirebank/link/link_test.cc
@@ -8,12 +8,15 @@
 #include <cstdio>
 #include <fstream>
 #include <iterator>
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "samphirebank/base/base.h"
 #include "samphirebank/events/events.h"
 #include "samphirebank/testing/processes.h"
+#include "samphirebank/web/web.h"
 
 namespace samphirebank::link {
 namespace {
@@ -61,6 +64,57 @@
   CHECK(sizes[1] > 300'000);
 }
 
+// Mailbox collects what is sent to an address, a message each, unopened.
+class Mailbox {
+ public:
+  Mailbox(boost::asio::io_context& loop, const net::SocketAddress& address)
+      : listener(loop, address, [this](const auto& connection) {
+          const std::weak_ptr<web::Connection> weak = connection;
+          connection->Start([] {},
+                            [this, weak](web::End) {
+                              const auto open = weak.lock();
+                              if (open) this->messages.push_back(open->input());
+                            });
+        }) {}
+
+  std::vector<std::string> messages;
+
+ private:
+  web::Listener listener;
+};
+
+// Guards against route tables that are refused as replayed, since a coordinator
+// sent many messages to other gateways while one was on its way.
+TEST_CASE(
+    "a message overtaken by another is taken, whatever others were sent") {
+  REQUIRE(sodium_init() >= 0);
+  boost::asio::io_context loop;
+  const net::SocketAddress to{"127.0.0.1", testing::FreePort()};
+  const net::SocketAddress other{"127.0.0.1", testing::FreePort()};
+  Mailbox mailbox(loop, to);
+  Link sender(loop, {.address = {"127.0.0.1", testing::FreePort()},
+                     .key = kKey,
+                     .self = InstanceId("a"),
+                     .on_packet = [](const wire::Opened&) {}});
+  const auto send_to = [&](const net::SocketAddress& receiver) {
+    sender.Send(receiver, wire::Encode(Text{.text = std::string(9000, 'l')}));
+  };
+  const auto run_until = [&](size_t count) {
+    for (int i = 0; i < 500 && mailbox.messages.size() < count; ++i) {
+      loop.run_for(std::chrono::milliseconds(10));
+    }
+    REQUIRE(mailbox.messages.size() == count);
+  };
+  send_to(to);
+  run_until(1);
+  for (uint64_t i = 0; i < 2 * wire::kReplayWindow; ++i) send_to(other);
+  send_to(to);
+  run_until(2);
+  wire::Opener opener(kKey);
+  CHECK(opener.Open(mailbox.messages[1]));
+  CHECK(opener.Open(mailbox.messages[0]));
+}
+
 TEST_CASE("a refused packet is logged with its reason and sender") {
   REQUIRE(sodium_init() >= 0);
   const std::string path = "link_test." + std::to_string(getpid()) + ".log";
--- a/samphirebank/net/net.h
+++ b/samphirebank/net/net.h
@@ -204,6 +204,9 @@
 
 // kMaxDatagram keeps a message within one Ethernet frame.
 inline constexpr size_t kMaxDatagram = 1350;
+// kMaxDatagramPayload is what a sealed datagram can hold besides its seal and
+// the names in it.
+inline constexpr size_t kMaxDatagramPayload = kMaxDatagram - 128;
 // kMaxPeerMessage caps a message over TCP.
 inline constexpr size_t kMaxPeerMessage = 1 << 20;
 
--- a/samphirebank/router/peers.cc
+++ b/samphirebank/router/peers.cc
@@ -87,7 +87,11 @@
   const events::Stamp stamp = events::CurrentStamp();
   packet.clock_ms = stamp.wall_ms;
   packet.clock_logical = stamp.logical;
-  const std::string bytes = router.sealer->Seal(packet);
+  const bool fits = packet.payload.size() <= net::kMaxDatagramPayload;
+  const std::string bytes = router.sealer->Seal(
+      packet, {.receiver = to.ToText(),
+               .transport = fits ? wire::Transport::kDatagram
+                                 : wire::Transport::kConnection});
   router.metrics.packets_sent.Add(1);
   router.metrics.packet_bytes_sent.Add(bytes.size());
   router.peers->Send(to, bytes);
--- a/samphirebank/wire/seal.cc
+++ b/samphirebank/wire/seal.cc
@@ -32,14 +32,17 @@
 }
 namespace {
 
-// A sealed packet is: version (1 byte), boot (8), number (8), ciphertext. The
-// first 17 bytes are authenticated as additional data; boot and number, which
-// never occur twice together, make the nonce. The plain text is a SealedHead,
-// then the payload.
+// A sealed packet is: version (1 byte), boot (8), channel (4), number (8),
+// ciphertext. The first 21 bytes are authenticated as additional data; boot,
+// channel and number, which never occur twice together, make the nonce. The
+// plain text is a SealedHead, then the payload.
 constexpr size_t kNonceBytes = crypto_aead_xchacha20poly1305_ietf_NPUBBYTES;
 constexpr size_t kTagBytes = crypto_aead_xchacha20poly1305_ietf_ABYTES;
-constexpr size_t kNumberBytes = 8;
-constexpr size_t kHeaderBytes = 1 + 2 * kNumberBytes;
+constexpr size_t kBootAt = 1;
+constexpr size_t kChannelAt = kBootAt + sizeof(uint64_t);
+constexpr size_t kNumberAt = kChannelAt + sizeof(uint32_t);
+constexpr size_t kHeaderBytes = kNumberAt + sizeof(uint64_t);
+static_assert(kHeaderBytes - 1 <= kNonceBytes);
 constexpr size_t kMaxNameBytes = 255;
 
 using Nonce = std::array<unsigned char, kNonceBytes>;
@@ -67,16 +70,18 @@
   std::string payload;
 };
 
-void WriteNumber(uint64_t number, char* at) {
-  for (size_t i = 0; i < kNumberBytes; ++i) {
+template <typename Number>
+void WriteNumber(Number number, char* at) {
+  for (size_t i = 0; i < sizeof(Number); ++i) {
     at[i] = static_cast<char>(number >> (8 * i));
   }
 }
 
-uint64_t ReadNumber(std::string_view bytes) {
-  uint64_t number = 0;
-  for (size_t i = 0; i < kNumberBytes; ++i) {
-    number |= uint64_t{static_cast<unsigned char>(bytes[i])} << (8 * i);
+template <typename Number>
+Number ReadNumber(std::string_view bytes) {
+  Number number = 0;
+  for (size_t i = 0; i < sizeof(Number); ++i) {
+    number |= Number{static_cast<unsigned char>(bytes[i])} << (8 * i);
   }
   return number;
 }
@@ -145,7 +150,12 @@
       std::min(this->instance.value.size(), kMaxNameBytes));
 }
 
-std::string Sealer::Seal(const Packet& packet) {
+std::string Sealer::Seal(const Packet& packet, const Channel& channel) {
+  const auto next_channel = static_cast<uint32_t>(this->numberings.size());
+  Numbering& numbering =
+      this->numberings
+          .try_emplace(channel, Numbering{.channel_number = next_channel})
+          .first->second;
   const std::string plain =
       EncodeFields(SealedHead{.from = this->instance.value,
                               .kind = static_cast<uint16_t>(packet.kind),
@@ -154,8 +164,9 @@
       packet.payload;
   std::string out(kHeaderBytes + plain.size() + kTagBytes, '\0');
   out[0] = static_cast<char>(kVersion);
-  WriteNumber(this->boot.value, out.data() + 1);
-  WriteNumber(this->next_number++, out.data() + 1 + kNumberBytes);
+  WriteNumber(this->boot.value, out.data() + kBootAt);
+  WriteNumber(numbering.channel_number, out.data() + kChannelAt);
+  WriteNumber(numbering.next_number++, out.data() + kNumberAt);
   const Nonce nonce = NonceOf(std::string_view(out).substr(0, kHeaderBytes));
   crypto_aead_xchacha20poly1305_ietf_encrypt(
       MutableBytes(out) + kHeaderBytes, nullptr, AsBytes(plain), plain.size(),
@@ -169,10 +180,11 @@
 leaf::result<Opened> Opener::Open(std::string_view bytes) {
   BOOST_LEAF_AUTO(decrypted, Decrypt(this->key, bytes));
   BOOST_LEAF_AUTO(plain, ReadPlain(decrypted));
-  const uint64_t boot = ReadNumber(bytes.substr(1));
-  const uint64_t number = ReadNumber(bytes.substr(1 + kNumberBytes));
+  const auto boot = ReadNumber<uint64_t>(bytes.substr(kBootAt));
+  const auto channel_number = ReadNumber<uint32_t>(bytes.substr(kChannelAt));
+  const auto number = ReadNumber<uint64_t>(bytes.substr(kNumberAt));
   SealedHead& head = plain.head;
-  Window& window = this->windows[{head.from, boot}];
+  Window& window = this->windows[{head.from, boot, channel_number}];
   if (number > window.newest) {
     const uint64_t step = number - window.newest;
     window.seen = step >= kReplayWindow ? 0 : window.seen << step;
--- a/samphirebank/wire/wire.h
+++ b/samphirebank/wire/wire.h
@@ -13,7 +13,8 @@
 //     }
 //   };
 //
-//   std::string bytes = sealer.Seal(Encode(Ping{.nonce = 7}));
+//   std::string bytes = sealer.Seal(Encode(Ping{.nonce = 7}),
+//                                   {.receiver = "10.0.0.2:7400"});
 //   leaf::result<Opened> opened = opener.Open(bytes);
 //   leaf::result<Ping> ping = Decode<Ping>(opened->packet);
 //
@@ -31,6 +32,7 @@
 #include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -48,7 +50,7 @@
 namespace leaf = boost::leaf;
 
 // kVersion is the protocol version; other versions are refused.
-inline constexpr uint8_t kVersion = 3;
+inline constexpr uint8_t kVersion = 4;
 
 // Kind says which message a packet holds. Values are never reused.
 enum class Kind : uint16_t {
@@ -186,6 +188,20 @@
   Packet packet;
 };
 
+// Transport is how a packet travels. A datagram overtakes what is sent over
+// connections.
+enum class Transport : uint8_t { kDatagram, kConnection };
+
+// Channel names a receiver, in any form that is the same each time, and the
+// transport to it. Each channel has packet numbers of its own, so that what a
+// sender sends to others does not count in the receiver's replay window.
+struct Channel {
+  std::string receiver{};
+  Transport transport = Transport::kDatagram;
+
+  friend auto operator<=>(const Channel&, const Channel&) = default;
+};
+
 // Sealer encrypts and numbers the packets of one instance's run. The boot id
 // has to be random: no two runs of any instances under one key may share it,
 // since it is part of the nonce.
@@ -193,18 +209,23 @@
  public:
   Sealer(FleetKey fleet_key, InstanceId self, BootId self_boot);
 
-  // Seal returns the bytes to send.
-  std::string Seal(const Packet& packet);
+  // Seal returns the bytes to send on a channel.
+  std::string Seal(const Packet& packet, const Channel& channel);
 
  private:
+  struct Numbering {
+    uint32_t channel_number = 0;
+    uint64_t next_number = 1;
+  };
+
   FleetKey key;
   InstanceId instance;
   BootId boot;
-  uint64_t next_number = 1;
+  std::map<Channel, Numbering> numberings;
 };
 
-// Opener checks and decrypts packets and refuses replays: within one run of a
-// sender each packet number is taken once, and numbers more than
+// Opener checks and decrypts packets and refuses replays: within one channel of
+// a sender's run each packet number is taken once, and numbers more than
 // kReplayWindow behind the newest are refused.
 class Opener {
  public:
@@ -214,12 +235,20 @@
   leaf::result<Opened> Open(std::string_view bytes);
 
  private:
+  // Source is one channel of a sender's run.
+  struct Source {
+    std::string from;
+    uint64_t boot = 0;
+    uint32_t channel_number = 0;
+
+    friend auto operator<=>(const Source&, const Source&) = default;
+  };
   struct Window {
     uint64_t newest = 0;
     uint64_t seen = 0;  // bit i: number newest - i was taken
   };
   FleetKey key;
-  std::map<std::pair<std::string, uint64_t>, Window> windows;
+  std::map<Source, Window> windows;
 };
 
 // kReplayWindow is how far packets may be reordered.
--- a/samphirebank/wire/wire_benchmark.cc
+++ b/samphirebank/wire/wire_benchmark.cc
@@ -10,6 +10,7 @@
 namespace samphirebank::wire {
 namespace {
 
+const Channel kChannel{.receiver = "10.0.0.2:7400"};
 const FleetKey kKey{std::string(32, 'k')};
 
 Packet PacketOf(int64_t bytes) {
@@ -22,7 +23,8 @@
 void BM_Seal(benchmark::State& bench) {
   Sealer sealer = SealerOf();
   const Packet packet = PacketOf(bench.range(0));
-  for (auto step : bench) benchmark::DoNotOptimize(sealer.Seal(packet));
+  for (auto step : bench)
+    benchmark::DoNotOptimize(sealer.Seal(packet, kChannel));
 }
 BENCHMARK(BM_Seal)->Arg(50)->Arg(100)->Arg(1'000)->Arg(30'000);
 
@@ -32,7 +34,7 @@
   Opener opener(kKey);
   const Packet packet = PacketOf(bench.range(0));
   for (auto step : bench) {
-    const std::string bytes = sealer.Seal(packet);
+    const std::string bytes = sealer.Seal(packet, kChannel);
     const bool opened = leaf::try_handle_all(
         [&]() -> leaf::result<bool> {
           BOOST_LEAF_CHECK(opener.Open(bytes));
--- a/samphirebank/wire/wire_test.cc
+++ b/samphirebank/wire/wire_test.cc
@@ -19,6 +19,8 @@
   }
 };
 
+const Channel kChannel{.receiver = "r2"};
+
 FleetKey KeyOf(char byte) { return FleetKey{std::string(32, byte)}; }
 
 // Refusal opens `bytes` and returns the reason, or nothing when it is taken.
@@ -37,7 +39,7 @@
   Opener opener(KeyOf('k'));
   Packet packet = Encode(Ping{.nonce = 9});
   packet.clock_ms = 12;
-  const std::string bytes = sealer.Seal(packet);
+  const std::string bytes = sealer.Seal(packet, kChannel);
   const leaf::result<Opened> opened = opener.Open(bytes);
   REQUIRE(opened);
   CHECK(opened->from == InstanceId("r1"));
@@ -50,7 +52,7 @@
 TEST_CASE("forged, truncated and foreign packets are refused") {
   Sealer sealer(KeyOf('k'), InstanceId("r1"), BootId(4));
   Opener opener(KeyOf('k'));
-  const std::string bytes = sealer.Seal(Encode(Ping{.nonce = 9}));
+  const std::string bytes = sealer.Seal(Encode(Ping{.nonce = 9}), kChannel);
   for (size_t i = 1; i < bytes.size(); ++i) {
     std::string bent = bytes;
     bent[i] = static_cast<char>(bent[i] ^ 1);
@@ -68,7 +70,7 @@
 TEST_CASE("sealing adds few bytes to a message") {
   Sealer sealer(KeyOf('k'), InstanceId("r1"), BootId(4));
   const Packet packet{.kind = Kind::kDemand, .payload = std::string(100, 'p')};
-  CHECK(sealer.Seal(packet).size() <= 100 + 56);
+  CHECK(sealer.Seal(packet, kChannel).size() <= 100 + 56);
 }
 
 TEST_CASE("reordering within the window is allowed, each number once") {
@@ -76,7 +78,7 @@
   Opener opener(KeyOf('k'));
   std::vector<std::string> packets;
   for (uint64_t i = 0; i < 70; ++i) {
-    packets.push_back(sealer.Seal(Encode(Ping{.nonce = i})));
+    packets.push_back(sealer.Seal(Encode(Ping{.nonce = i}), kChannel));
   }
   CHECK(Refusal(opener, packets[69]) == std::nullopt);
   CHECK(Refusal(opener, packets[10]) == std::nullopt);
@@ -84,6 +86,23 @@
   CHECK(Refusal(opener, packets[2]) == ErrorKind::kReplayed);
 }
 
+// Guards against packets that are refused as replayed since the sender sent
+// many others: to other receivers, or over the other transport.
+TEST_CASE("packets of other channels do not count as reordering") {
+  Sealer sealer(KeyOf('k'), InstanceId("r1"), BootId(4));
+  Opener opener(KeyOf('k'));
+  const Channel connection{.receiver = "r2",
+                           .transport = Transport::kConnection};
+  const Packet packet = Encode(Ping{.nonce = 9});
+  const std::string slow = sealer.Seal(packet, connection);
+  for (uint64_t i = 0; i < 2 * kReplayWindow; ++i) {
+    sealer.Seal(packet, {.receiver = "r3"});
+    CHECK(Refusal(opener, sealer.Seal(packet, kChannel)) == std::nullopt);
+  }
+  CHECK(Refusal(opener, slow) == std::nullopt);
+  CHECK(Refusal(opener, slow) == ErrorKind::kReplayed);
+}
+
 TEST_CASE("a fleet key is 64 hexadecimal digits") {
   CHECK(ParseFleetKey(std::string(64, 'a')).has_value());
   CHECK(!ParseFleetKey(std::string(62, 'a')).has_value());
