Load sums on their way to a gateway no longer displace its route table

Cause: four messages to one peer may wait for their connections, whatever they hold; a fifth is dropped. Load sums need a connection from about 100 targets on, ten times a second, so that a table for a gateway that is slow to accept was dropped, and tried again 0.4 s later at the earliest. Change: the bound holds for each kind of message. Measured: link_test failed before ("messages of one kind do not take the place of another kind").

--- a/samphirebank/link/link.cc
+++ b/samphirebank/link/link.cc
@@ -24,7 +24,7 @@
 
 constexpr size_t kDatagramBytes = 64 << 10;
 constexpr Duration kConnectLimit = std::chrono::seconds(1);
-// Larger messages on their way to one peer; more are dropped.
+// Larger messages of one kind on their way to one peer; more are dropped.
 constexpr uint32_t kMostTransfers = 4;
 constexpr int kDatagramsPerTurn = 64;
 
@@ -131,21 +131,24 @@
   }
 
   void Transfer(const net::SocketAddress& to, const wire::Packet& packet) {
-    uint32_t& running = this->transfers[to];
-    if (running >= kMostTransfers) {
+    const std::pair slot(to, packet.kind);
+    if (this->transfers[slot] >= kMostTransfers) {
       return NoteDropped(to, packet.payload.size(), "busy");
     }
-    ++running;
+    ++this->transfers[slot];
     std::string bytes = this->sealer.Seal(
         packet,
         {.receiver = to.ToText(), .transport = wire::Transport::kConnection});
     web::Connect(this->loop, to, kConnectLimit,
-                 [this, to, bytes = std::move(bytes)](
+                 [this, slot, bytes = std::move(bytes)](
                      const std::shared_ptr<web::Connection>& connection,
                      web::ConnectEnd) {
-                   --this->transfers[to];
+                   if (--this->transfers[slot] == 0) {
+                     this->transfers.erase(slot);
+                   }
                    if (connection == nullptr) {
-                     return NoteDropped(to, bytes.size(), "unreachable");
+                     return NoteDropped(slot.first, bytes.size(),
+                                        "unreachable");
                    }
                    connection->Send(bytes);
                    connection->CloseAfterSending();
@@ -158,7 +161,9 @@
   wire::Sealer sealer;
   wire::Opener opener;
   web::Listener listener;
-  std::map<net::SocketAddress, uint32_t> transfers;
+  // Being connected, by receiver and kind: many of one kind do not hold up
+  // those of another.
+  std::map<std::pair<net::SocketAddress, wire::Kind>, uint32_t> transfers;
 };
 
 Link::Link(asio::io_context& loop, Options options)
--- a/samphirebank/link/link_test.cc
+++ b/samphirebank/link/link_test.cc
@@ -115,6 +115,36 @@
   CHECK(opener.Open(mailbox.messages[0]));
 }
 
+// Guards against route tables that are dropped since as many load sums are on
+// their way to the same gateway.
+TEST_CASE("messages of one kind do not take the place of another kind") {
+  REQUIRE(sodium_init() >= 0);
+  boost::asio::io_context loop;
+  const net::SocketAddress to{"127.0.0.1", testing::FreePort()};
+  Mailbox mailbox(loop, to);
+  Link sender(loop, {.address = {"127.0.0.1", testing::FreePort()},
+                     .key = kKey,
+                     .self = InstanceId("a"),
+                     .on_packet = [](const wire::Opened&) {}});
+  wire::Packet load = wire::Encode(Text{.text = std::string(9000, 'l')});
+  load.kind = wire::Kind::kLoadSum;
+  for (int i = 0; i < 20; ++i) sender.Send(to, load);
+  wire::Packet table = wire::Encode(Text{.text = std::string(9000, 't')});
+  table.kind = wire::Kind::kTableUpdate;
+  sender.Send(to, table);
+  wire::Opener opener(kKey);
+  size_t num_tables = 0;
+  for (int i = 0; i < 500 && num_tables == 0; ++i) {
+    loop.run_for(std::chrono::milliseconds(10));
+    for (const std::string& message : std::exchange(mailbox.messages, {})) {
+      const auto opened = opener.Open(message);
+      REQUIRE(opened);
+      if (opened->packet.kind == wire::Kind::kTableUpdate) ++num_tables;
+    }
+  }
+  CHECK(num_tables == 1);
+}
+
 TEST_CASE("a refused packet is logged with its reason and sender") {
   REQUIRE(sodium_init() >= 0);
   const std::string path = "link_test." + std::to_string(getpid()) + ".log";
