--- a/samphirebank/wire/wire_benchmark.cc
+++ b/samphirebank/wire/wire_benchmark.cc
@@ -23,8 +23,9 @@
 void BM_Seal(benchmark::State& bench) {
   Sealer sealer = SealerOf();
   const Packet packet = PacketOf(bench.range(0));
-  for (auto step : bench)
+  for (auto step : bench) {
     benchmark::DoNotOptimize(sealer.Seal(packet, kChannel));
+  }
 }
 BENCHMARK(BM_Seal)->Arg(50)->Arg(100)->Arg(1'000)->Arg(30'000);
 
