Targets get no more requests than the rate that they state

What callers saw: nothing; the targets did. No part of the fleet enforced a limit that targets state themselves. Change: ratelimit/ keeps what each run of a target states, and a request to such a target needs a token. Coordinators grant them as for cold targets, at the stated rate over all of them; that sum is why the fix works. Off where no answer names a limit.

--- a/samphirebank/dialect/dialect.h
+++ b/samphirebank/dialect/dialect.h
@@ -109,6 +109,8 @@
   bool leaving = false;  // the target takes no new work from now on
   // For how long a target that refused the request wants no other one.
   std::optional<Duration> retry_after{};
+  // What the target takes from all routers together, while it says so.
+  std::optional<double> requests_per_second{};
   std::optional<Duration> idle_limit{};  // how long the connection is kept
   std::optional<TargetLoad> load{};
   Headers passed_on{};  // what the caller gets
--- a/samphirebank/events/catalogue.cc
+++ b/samphirebank/events/catalogue.cc
@@ -56,6 +56,8 @@
       {Number::kTargetPassedOver, "target-passed-over", kWarning, "A target failed and gets no requests of this instance for a while.", {"target", "service", "address", "reason", "count", "duration_ms"}},
       {Number::kTargetBrokeOff, "target-broke-off", kWarning, "A target's connection ended before its answer to a request was whole.", {"request", "organisation", "service", "target", "status", "bytes", "duration_ms", "count", "reason", "detail"}},
       {Number::kPartQuarantined, "part-quarantined", kError, "Prompts with this part crash targets and are refused for a while.", {"duration_ms", "detail"}},
+      {Number::kTargetLimited, "target-limited", kInfo, "A target states the requests per second that it takes from all gateways together.", {"target", "service", "detail"}},
+      {Number::kTargetUnlimited, "target-unlimited", kInfo, "A target no longer states a rate limit.", {"target", "service"}},
 
       {Number::kSchedulerStarted, "scheduler-started", kInfo, "This instance shares out a pool.", {"service", "region", "epoch"}},
       {Number::kSchedulerRetired, "scheduler-retired", kInfo, "This instance no longer shares out a pool.", {"service", "region", "epoch", "reason"}},
--- a/samphirebank/events/events.h
+++ b/samphirebank/events/events.h
@@ -69,6 +69,8 @@
   kTargetPassedOver = 305,
   kTargetBrokeOff = 306,
   kPartQuarantined = 307,
+  kTargetLimited = 308,
+  kTargetUnlimited = 309,
 
   kSchedulerStarted = 400,
   kSchedulerRetired = 401,
--- a/samphirebank/gateway/internal/metrics.h
+++ b/samphirebank/gateway/internal/metrics.h
@@ -42,6 +42,7 @@
   metrics::Counter& chosen_again;
   metrics::Counter& refused_for_memory;
   metrics::Counter& refused_for_warmup;
+  metrics::Counter& refused_for_rate_limit;
   metrics::Counter& refused_ahead;
   metrics::Counter& admitted_behind;
   metrics::Counter& warmup_tokens_received;
@@ -55,6 +56,7 @@
   metrics::Gauge& table_version;
   metrics::Gauge& evacuated_zones;
   metrics::Gauge& cold_targets;
+  metrics::Gauge& rate_limited_targets;
   metrics::Gauge& organisations_held_back;
   metrics::Gauge& control_silence;
 
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -31,6 +31,7 @@
 #include "samphirebank/memory/memory.h"
 #include "samphirebank/process/process.h"
 #include "samphirebank/quarantine/quarantine.h"
+#include "samphirebank/ratelimit/ratelimit.h"
 #include "samphirebank/residency/residency.h"
 #include "samphirebank/rotation/rotation.h"
 #include "samphirebank/routes/routes.h"
@@ -144,17 +145,25 @@
   // chosen for it.
   bool MaySend(const TargetId& target, const residency::AllowedRegions& allowed,
                TimePoint now) const;
-  // The limit of cold targets; see warmup.
+  // The limits of cold targets and of those that state one; see warmup and
+  // ratelimit.
   //
-  // HasColdTarget says whether a ready target needs a token.
+  // HasColdTarget says whether a ready target needs a token since it is cold.
   bool HasColdTarget(const ServiceId& service,
                      const residency::AllowedRegions& allowed,
                      TimePoint now) const;
+  // HasRateLimitedTarget says whether one does since it states a rate limit.
+  bool HasRateLimitedTarget(const ServiceId& service,
+                            const residency::AllowedRegions& allowed) const;
+  // NoteStatedLimit records the rate limit that an answer of a target's run
+  // names; empty if it names none.
+  void NoteStatedLimit(const TargetId& target, int64_t run_started_at_ms,
+                       std::optional<double> requests_per_second);
   // TakeToken reserves the right to send a request to a target; empty if the
   // target needs none.
   std::optional<warmup::Token> TakeToken(const TargetId& target, TimePoint now);
   void ReturnToken(const warmup::Token& token);
-  // IsHeldBack says whether a target is cold and the token is missing or has
+  // IsHeldBack says whether a target needs a token that is missing or has
   // expired.
   bool IsHeldBack(const TargetId& target,
                   const std::optional<warmup::Token>& token,
@@ -197,6 +206,9 @@
   void NoteRefusedForResidency() { this->metrics.refused_for_residency.Add(1); }
   void NoteRefusedForMemory() { this->metrics.refused_for_memory.Add(1); }
   void NoteRefusedForWarmup() { this->metrics.refused_for_warmup.Add(1); }
+  void NoteRefusedForRateLimit() {
+    this->metrics.refused_for_rate_limit.Add(1);
+  }
   void NoteAdmission(admission::Decision decision);
   void NoteTokenUsed() { this->metrics.warmup_tokens_used.Add(1); }
   void NoteChosenAgain() { this->metrics.chosen_again.Add(1); }
@@ -211,7 +223,17 @@
   std::vector<const directory::Announcement*> ReadyTargets(
       const ServiceId& service, const residency::AllowedRegions& allowed) const;
   double ColdRate(const ServiceId& service) const;
-  // IsLimited says whether requests to a target need a token.
+  // IsColdLimited says whether a target is cold and its service has a limit.
+  bool IsColdLimited(const directory::Announcement& target,
+                     TimePoint now) const;
+  // LimitOf returns the limit of a target, to which requests need a token;
+  // empty if it has none.
+  std::optional<warmup::LimitedTarget> LimitOf(
+      const directory::Announcement& target, TimePoint now) const;
+  bool HasLimits() const {
+    return !this->cold_targets.entries.empty() ||
+           !this->stated_limits.entries.empty();
+  }
   bool IsLimited(const directory::Announcement& target, TimePoint now) const;
   // RemoveHeldBack removes the targets that need a token that is not here.
   void RemoveHeldBack(std::vector<const directory::Announcement*>* ready,
@@ -300,6 +322,7 @@
   shedding::Shedding shedding;
   quarantine::Quarantine quarantine;
   warmup::ColdTargets cold_targets;
+  ratelimit::StatedLimits stated_limits;
   warmup::Allowance allowance;
   TimePoint evicted_at;  // old evidence of it
   process::BusyClock busy;
--- a/samphirebank/gateway/metrics.cc
+++ b/samphirebank/gateway/metrics.cc
@@ -62,6 +62,10 @@
           {.name = "refused_for_warmup_total",
            .help = "Requests refused for want of a target, while some are cold "
                    "and no token for them is left."})),
+      refused_for_rate_limit(this->registry.AddCounter(
+          {.name = "refused_for_rate_limit_total",
+           .help = "Requests refused for want of a target, while some state a "
+                   "rate limit and no token for them is left."})),
       refused_ahead(this->registry.AddCounter(
           {.name = "refused_ahead_total",
            .help =
@@ -103,6 +107,9 @@
            .help = "Zones to whose targets nothing is sent."})),
       cold_targets(this->registry.AddGauge(
           {.name = "cold_targets", .help = "Targets that are warming up."})),
+      rate_limited_targets(this->registry.AddGauge(
+          {.name = "rate_limited_targets",
+           .help = "Targets that state a rate limit."})),
       organisations_held_back(this->registry.AddGauge(
           {.name = "organisations_held_back",
            .help = "Organisations that are ahead of one that is backlogged."})),
--- a/samphirebank/gateway/receiving.cc
+++ b/samphirebank/gateway/receiving.cc
@@ -113,6 +113,8 @@
   if (head.leaving) {
     this->server.NoteLeaving(current.target, current.run_started_at_ms);
   }
+  this->server.NoteStatedLimit(current.target, current.run_started_at_ms,
+                               head.requests_per_second);
   if (head.retry_after && current.status == kUnavailable) {
     dispatch::RecordPause(book, current.target, current.run_started_at_ms,
                           now + *head.retry_after);
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -97,6 +97,10 @@
     this->server.NoteRefusedForWarmup();
     return this->RefuseForNow("targets are warming up");
   }
+  if (this->server.HasRateLimitedTarget(this->service, allowed)) {
+    this->server.NoteRefusedForRateLimit();
+    return this->RefuseForNow("targets limit their rate");
+  }
   if (allowed.regions && this->server.ReadyCount(this->service) > 0) {
     this->server.NoteRefusedForResidency();
     return this->RefuseForNow("no target in an allowed region");
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -207,6 +207,7 @@
       now - this->in_contact_since >= this->directory.options.heartbeat_timeout;
   if (!judges) return;
   for (const TargetId& silent : directory::EvictExpired(this->directory, now)) {
+    this->stated_limits.entries.erase(silent);
     events::Log({.number = Number::kTargetLost, .target = silent});
   }
 }
@@ -272,8 +273,10 @@
                  .address = known.address.ToText()});
     // A new run has none of the old run's failures.
     dispatch::RecordRun(this->targets_book, target, known.started_at_ms);
+    ratelimit::RecordRun(this->stated_limits, target, known.started_at_ms);
   }
   for (const TargetId& target : heard.leaving) {
+    this->stated_limits.entries.erase(target);
     const auto& known = this->directory.entries.at(target).announcement;
     events::Log({.number = Number::kTargetLeaving,
                  .target = target,
--- a/samphirebank/gateway/targets.cc
+++ b/samphirebank/gateway/targets.cc
@@ -285,6 +285,8 @@
   this->metrics.evacuated_zones.Set(
       number(this->follower.evacuations.zones.size()));
   this->metrics.cold_targets.Set(number(this->cold_targets.entries.size()));
+  this->metrics.rate_limited_targets.Set(
+      number(this->stated_limits.entries.size()));
   this->metrics.control_silence.Set(silence.count());
   return {.status = 200,
           .headers = {{"content-type", "text/plain; version=0.0.4"}},
--- a/samphirebank/gateway/warming.cc
+++ b/samphirebank/gateway/warming.cc
@@ -1,7 +1,10 @@
-// Which targets are cold, and this gateway's tokens for them.
+// Which targets are cold or state a rate limit, and this gateway's tokens for
+// them.
 #include <algorithm>
+#include <string>
 #include <vector>
 
+#include "samphirebank/events/events.h"
 #include "samphirebank/gateway/internal/server.h"
 #include "samphirebank/process/process.h"
 
@@ -17,24 +20,73 @@
   return found == nullptr ? 0.0 : found->cold_requests_per_second;
 }
 
-bool Server::IsLimited(const directory::Announcement& target,
-                       TimePoint now) const {
+bool Server::IsColdLimited(const directory::Announcement& target,
+                           TimePoint now) const {
   return warmup::IsCold(this->cold_targets, target.id, now) &&
          this->ColdRate(target.service) > 0.0;
 }
 
+std::optional<warmup::LimitedTarget> Server::LimitOf(
+    const directory::Announcement& target, TimePoint now) const {
+  const auto stated = ratelimit::LimitOf(this->stated_limits, target.id);
+  const bool is_cold = this->IsColdLimited(target, now);
+  if (!stated && !is_cold) return std::nullopt;
+  const double cold_rate = this->ColdRate(target.service);
+  return warmup::LimitedTarget{
+      .target = fleetload::HashId(target.id.value),
+      .requests_per_second =
+          is_cold ? std::min(cold_rate, stated.value_or(cold_rate)) : *stated,
+      .kind = is_cold ? warmup::LimitKind::kCold : warmup::LimitKind::kStated};
+}
+
+bool Server::IsLimited(const directory::Announcement& target,
+                       TimePoint now) const {
+  return this->stated_limits.entries.contains(target.id) ||
+         this->IsColdLimited(target, now);
+}
+
 bool Server::HasColdTarget(const ServiceId& service,
                            const residency::AllowedRegions& allowed,
                            TimePoint now) const {
   if (this->cold_targets.entries.empty()) return false;
   return std::ranges::any_of(
       this->ReadyTargets(service, allowed),
-      [&](const auto* target) { return this->IsLimited(*target, now); });
+      [&](const auto* target) { return this->IsColdLimited(*target, now); });
+}
+
+bool Server::HasRateLimitedTarget(
+    const ServiceId& service, const residency::AllowedRegions& allowed) const {
+  if (this->stated_limits.entries.empty()) return false;
+  return std::ranges::any_of(
+      this->ReadyTargets(service, allowed), [&](const auto* target) {
+        return this->stated_limits.entries.contains(target->id);
+      });
+}
+
+void Server::NoteStatedLimit(const TargetId& target, int64_t run_started_at_ms,
+                             std::optional<double> requests_per_second) {
+  const auto found = this->directory.entries.find(target);
+  const bool is_current =
+      found != this->directory.entries.end() &&
+      found->second.announcement.started_at_ms == run_started_at_ms;
+  if (!is_current) return;
+  const ratelimit::Change change = ratelimit::RecordAnswer(
+      this->stated_limits, target, run_started_at_ms, requests_per_second);
+  if (change == ratelimit::Change::kNone) return;
+  events::Log(
+      {.number = change == ratelimit::Change::kBegan
+                     ? events::Number::kTargetLimited
+                     : events::Number::kTargetUnlimited,
+       .target = target,
+       .service = found->second.announcement.service,
+       .detail = requests_per_second
+                     ? std::to_string(*requests_per_second) + " a second"
+                     : ""});
 }
 
 void Server::RemoveHeldBack(std::vector<const directory::Announcement*>* ready,
                             TimePoint now) const {
-  if (this->cold_targets.entries.empty()) return;
+  if (!this->HasLimits()) return;
   const SuspendAwareTime suspend_aware_now = SuspendAwareNow();
   std::erase_if(*ready, [&](const auto* target) {
     return this->IsLimited(*target, now) &&
@@ -99,9 +151,9 @@
   warmup::EvictExpired(this->allowance, suspend_aware_now);
   this->metrics.warmup_tokens_expired.Add(this->allowance.num_expired -
                                           expired_before);
-  if (this->cold_targets.entries.empty()) return;
+  if (!this->HasLimits()) return;
   std::vector<const directory::Announcement*> limited;
-  for (const auto& [id, cold] : this->cold_targets.entries) {
+  const auto add = [&](const TargetId& id) {
     const auto found = this->directory.entries.find(id);
     const bool counts =
         found != this->directory.entries.end() &&
@@ -109,16 +161,19 @@
         this->IsLimited(found->second.announcement, now) &&
         !warmup::HasToken(this->allowance, id, suspend_aware_now);
     if (counts) limited.push_back(&found->second.announcement);
+  };
+  for (const auto& [id, stated] : this->stated_limits.entries) add(id);
+  for (const auto& [id, cold] : this->cold_targets.entries) {
+    if (!this->stated_limits.entries.contains(id)) add(id);
   }
   if (limited.empty()) return;
   std::ranges::stable_sort(limited, {}, [this](const auto* target) {
     return this->DistanceTo(target->zone);
   });
-  std::vector<warmup::ColdTarget> asked;
+  std::vector<warmup::LimitedTarget> asked;
   asked.reserve(limited.size());
   for (const directory::Announcement* target : limited) {
-    asked.push_back({.target = fleetload::HashId(target->id.value),
-                     .requests_per_second = this->ColdRate(target->service)});
+    asked.push_back(*this->LimitOf(*target, now));
   }
   this->peers->Send(coordinator,
                     wire::Encode(warmup::BuildRequest(
--- a/samphirebank/warmup/allowance.cc
+++ b/samphirebank/warmup/allowance.cc
@@ -10,7 +10,7 @@
 }
 
 WarmupRequest BuildRequest(Allowance& allowance,
-                           std::vector<ColdTarget> targets,
+                           std::vector<LimitedTarget> targets,
                            SuspendAwareTime now) {
   if (targets.size() > kMaxTargetsPerRequest) {
     targets.resize(kMaxTargetsPerRequest);
--- a/samphirebank/warmup/grantor.cc
+++ b/samphirebank/warmup/grantor.cc
@@ -52,6 +52,22 @@
   return {.tokens_per_second = fleet_rate / grantors, .burst = kBurst};
 }
 
+GrantRate StatedRateOf(double requests_per_second, size_t num_coordinators,
+                       size_t rank) {
+  constexpr double kBurst = 1.0;
+  // Only an answer shows that a limit has ended, so a few requests are sent
+  // however low it is.
+  constexpr double kMinRequestsPerSecond = 0.25;
+  const double fleet_rate =
+      std::max(requests_per_second, kMinRequestsPerSecond);
+  // A rate below one request is granted by one coordinator.
+  const double most_grantors = std::max(1.0, std::floor(fleet_rate));
+  const double grantors =
+      std::min(static_cast<double>(num_coordinators) + 1.0, most_grantors);
+  if (static_cast<double>(rank) >= grantors) return {};
+  return {.tokens_per_second = fleet_rate / grantors, .burst = kBurst};
+}
+
 WarmupGrant BuildGrant(Grantor& grantor, const WarmupRequest& request,
                        const std::vector<InstanceId>& members,
                        const InstanceId& self, TimePoint now) {
@@ -61,19 +77,23 @@
       grantor.started_at + kTokenValidity +
       std::chrono::duration_cast<Duration>(kLimitWindow);
   if (now < earlier_tokens_expired) return grant;
-  for (const ColdTarget& cold : request.targets) {
-    const auto rank = RankOf(members, self, cold.target);
+  for (const LimitedTarget& limited : request.targets) {
+    const auto rank = RankOf(members, self, limited.target);
     if (!rank) break;
-    const GrantRate rate = RateOf(grantor.options, cold.requests_per_second,
-                                  members.size(), *rank);
+    const GrantRate rate =
+        limited.kind == LimitKind::kStated
+            ? StatedRateOf(limited.requests_per_second, members.size(), *rank)
+            : RateOf(grantor.options, limited.requests_per_second,
+                     members.size(), *rank);
     if (rate.burst <= 0.0) continue;
     const auto [found, is_new] = grantor.buckets.try_emplace(
-        cold.target, Grantor::Bucket{.tokens = rate.burst, .refilled_at = now});
+        limited.target,
+        Grantor::Bucket{.tokens = rate.burst, .refilled_at = now});
     Grantor::Bucket& bucket = found->second;
     if (!is_new) Refill(bucket, rate, now);
     if (bucket.tokens < 1.0) continue;
     bucket.tokens -= 1.0;
-    grant.targets.push_back(cold.target);
+    grant.targets.push_back(limited.target);
   }
   return grant;
 }
--- a/samphirebank/warmup/grantor_test.cc
+++ b/samphirebank/warmup/grantor_test.cc
@@ -26,7 +26,7 @@
   return members;
 }
 
-ColdTarget Cold(double rate = kRate) {
+LimitedTarget Cold(double rate = kRate) {
   return {.target = fleetload::HashId(kTarget.value),
           .requests_per_second = rate};
 }
@@ -54,6 +54,29 @@
   }
 }
 
+// Guards against a target that gets more than it stated: in any 4 s up to one
+// and a half times that, and five requests, may arrive.
+TEST_CASE("all coordinators together keep to a stated rate") {
+  const std::chrono::duration<double> validity = kTokenValidity;
+  constexpr double kWindowSeconds = 4.0;
+  for (const double rate : {0.0, 0.3, 1.0, 1.9, 3.8, 5.1, 12.0, 300.0}) {
+    for (size_t coordinators = 1; coordinators <= 9; ++coordinators) {
+      double most = 0;
+      double usable = 0;
+      for (size_t rank = 0; rank <= coordinators; ++rank) {
+        const GrantRate share = StatedRateOf(rate, coordinators, rank);
+        most += share.burst +
+                share.tokens_per_second * (kWindowSeconds + validity.count());
+        if (rank < coordinators) usable += share.tokens_per_second;
+      }
+      CAPTURE(rate);
+      CAPTURE(coordinators);
+      CHECK(most <= 1.5 * rate * kWindowSeconds + 5.0);
+      CHECK(usable >= rate / 2.0 - 1e-9);
+    }
+  }
+}
+
 // Without a limit there is nothing to grant; a division by zero must not yield
 // an unlimited rate.
 TEST_CASE("a limit below one request grants nothing") {
--- a/samphirebank/warmup/warmup.h
+++ b/samphirebank/warmup/warmup.h
@@ -1,7 +1,8 @@
 // File: warmup.h
 //
-// The warm-up limit: a cold target bears only a few requests per second, summed
-// over all gateways. Coordinators grant the right to send single requests to
+// Limits of single targets that hold for the sum over all gateways: a cold
+// target bears only a few requests per second, and a target in need states a
+// rate (see ratelimit). Coordinators grant the right to send single requests to
 // cold targets as tokens, leases that expire soon. A gateway without a token
 // sends nothing to a cold target, so that the limit holds while messages are
 // lost, instances freeze or restart, and the fleet is partitioned. No I/O.
@@ -11,6 +12,9 @@
 //
 //   bursts of all coordinators + rate * (1 s + validity) <= limit
 //
+// For a stated rate the rates of all coordinators add up to it at most, and
+// their bursts to the requests of one second.
+//
 // Example, on a coordinator:
 //
 //   WarmupGrant reply = BuildGrant(grantor, request, members, now);
@@ -51,14 +55,21 @@
 // kMaxTargetsPerRequest keeps a request within one datagram.
 inline constexpr size_t kMaxTargetsPerRequest = 60;
 
-// ColdTarget is a target for which a gateway asks for a token.
-struct ColdTarget {
+// LimitKind says what limits a target.
+enum class LimitKind : uint8_t {
+  kCold,    // the rate that it bears while it is cold, by the route table
+  kStated,  // the rate that it states in its answers
+};
+
+// LimitedTarget is a target for which a gateway asks for a token.
+struct LimitedTarget {
   IdHash target = 0;
-  double requests_per_second = 0.0;  // that it bears, by the route table
+  double requests_per_second = 0.0;
+  LimitKind kind = LimitKind::kCold;
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(target, requests_per_second);
+    archive(target, requests_per_second, kind);
   }
 };
 
@@ -67,7 +78,7 @@
 struct WarmupRequest {
   static constexpr wire::Kind kKind = static_cast<wire::Kind>(25);
   uint64_t number = 0;  // identifies the request in the grant
-  std::vector<ColdTarget> targets{};
+  std::vector<LimitedTarget> targets{};
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
@@ -112,12 +123,17 @@
   double burst = 0.0;  // 0: this coordinator grants nothing
 };
 
-// RateOf divides a target's limit over `num_coordinators`. One more than those
-// is allowed for, since a coordinator that is replaced may not know it yet.
-// `rank` is this coordinator's rank for the target, from 0: where the limit is
-// too low for all, only those of the lowest ranks grant.
+// RateOf divides a cold target's limit over `num_coordinators`. One more than
+// those is allowed for, since a coordinator that is replaced may not know it
+// yet. `rank` is this coordinator's rank for the target, from 0: where the
+// limit is too low for all, only those of the lowest ranks grant.
 GrantRate RateOf(const GrantorOptions& options, double requests_per_second,
                  size_t num_coordinators, size_t rank);
+// StatedRateOf does the same for a rate that a target states. At a rate of 0 it
+// still grants one request in some seconds, since only an answer shows that the
+// limit has ended.
+GrantRate StatedRateOf(double requests_per_second, size_t num_coordinators,
+                       size_t rank);
 
 // BuildGrant returns the response to a request. `members` are the coordinators
 // of the group, `self` is this one; if it is no member, nothing is granted. A
@@ -153,7 +169,7 @@
 // BuildRequest returns a request for the targets, at most
 // kMaxTargetsPerRequest.
 WarmupRequest BuildRequest(Allowance& allowance,
-                           std::vector<ColdTarget> targets,
+                           std::vector<LimitedTarget> targets,
                            SuspendAwareTime now);
 // RecordGrant adds the tokens of a response; returns their number. A response
 // that came before, or belongs to no request, adds none.
