--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -230,10 +230,12 @@
   // empty if it has none.
   std::optional<warmup::LimitedTarget> LimitOf(
       const directory::Announcement& target, TimePoint now) const;
+  // HasLimits says whether any target may be limited.
   bool HasLimits() const {
     return !this->cold_targets.entries.empty() ||
            !this->stated_limits.entries.empty();
   }
+  // IsLimited says whether requests to a target need a token.
   bool IsLimited(const directory::Announcement& target, TimePoint now) const;
   // RemoveHeldBack removes the targets that need a token that is not here.
   void RemoveHeldBack(std::vector<const directory::Announcement*>* ready,
--- a/samphirebank/gateway/warming.cc
+++ b/samphirebank/gateway/warming.cc
@@ -66,9 +66,11 @@
 void Server::NoteStatedLimit(const TargetId& target, int64_t run_started_at_ms,
                              std::optional<double> requests_per_second) {
   const auto found = this->directory.entries.find(target);
+  // One that leaves gets no more requests in any case.
   const bool is_current =
       found != this->directory.entries.end() &&
-      found->second.announcement.started_at_ms == run_started_at_ms;
+      found->second.announcement.started_at_ms == run_started_at_ms &&
+      found->second.announcement.state == directory::State::kReady;
   if (!is_current) return;
   const ratelimit::Change change = ratelimit::RecordAnswer(
       this->stated_limits, target, run_started_at_ms, requests_per_second);
