--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -405,6 +405,7 @@
         self.server = None
         self.beats = None
         self.next_node = random.randrange(100)
+        self.writers = set()
 
     async def start(self):
         self.server = await asyncio.start_server(
@@ -446,6 +447,7 @@
             await asyncio.sleep(1.2)
 
     async def _connection(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 first, headers = await read_head(reader)
@@ -457,6 +459,7 @@
                 asyncio.LimitOverrunError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _answer(self, request, reader, writer):
@@ -477,11 +480,13 @@
         finally:
             self.running -= 1
 
-    async def stop(self):
-        if self.beats:
-            self.beats.cancel()
-        if self.server:
-            self.server.close()
+    def crash(self):
+        """Ends at once: connections are reset and nothing listens."""
+        self.record.note(f"server: {self.id} crashes")
+        self.beats.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
 
 def own_headers(request):
