--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -623,14 +623,14 @@
 def main(script, play, limit=115.0):
     """Plays the case, ends what it started and exits with its result."""
     platform = Platform(pathlib.Path(script).resolve().parent)
+    result = NOT_RUN
     try:
         platform.record.say(f"trouble: {'yes' if TROUBLE else 'no'}")
         loop = asyncio.new_event_loop()
         result = loop.run_until_complete(
             asyncio.wait_for(play(platform), limit))
-    except (CannotRun, asyncio.TimeoutError) as error:
+    except Exception as error:  # a fault of the script is no broken rule
         platform.record.say(f"could not run: {error!r}")
-        result = NOT_RUN
     finally:
         platform.stop()
     platform.record.say({HELD: "rule held", BROKEN: "rule broken",
