--- a/samphirebank/web/readers.cc
+++ b/samphirebank/web/readers.cc
@@ -15,6 +15,9 @@
 using boost::system::error_code;
 
 constexpr uint32_t kAnswerHeadBytes = 64 << 10;
+// HTTP has no other statuses; the parser takes any three digits.
+constexpr int kLowestStatus = 100;
+constexpr int kHighestStatus = 599;
 
 template <typename Fields>
 Headers HeadersOf(const Fields& fields) {
@@ -140,10 +143,12 @@
 
 ReadState AnswerReader::Feed(std::string* input) {
   const ReadState state = FeedParser(this->impl->parser, input);
+  if (!this->HasValidStatus()) return ReadState::kMalformed;
   return BoundRest(state, *input, kAnswerHeadBytes);
 }
 
 ReadState AnswerReader::FeedEnd() {
+  if (!this->HasValidStatus()) return ReadState::kMalformed;
   if (this->impl->parser.is_done()) return ReadState::kWhole;
   if (!this->impl->parser.got_some()) return ReadState::kMalformed;
   error_code error;
@@ -152,6 +157,13 @@
   return whole ? ReadState::kWhole : ReadState::kMalformed;
 }
 
+// HasValidStatus returns whether the status is one of HTTP, as far as it was
+// read.
+bool AnswerReader::HasValidStatus() const {
+  return !this->head_done() ||
+         (this->status() >= kLowestStatus && this->status() <= kHighestStatus);
+}
+
 bool AnswerReader::head_done() const {
   return this->impl->parser.is_header_done();
 }
--- a/samphirebank/web/web.h
+++ b/samphirebank/web/web.h
@@ -114,6 +114,8 @@
   std::string TakeBody();
 
  private:
+  bool HasValidStatus() const;
+
   struct Impl;
   std::unique_ptr<Impl> impl;
 };
--- a/samphirebank/web/web_test.cc
+++ b/samphirebank/web/web_test.cc
@@ -189,6 +189,24 @@
   }
 }
 
+TEST_CASE("a status that HTTP does not have is malformed") {
+  for (const std::string status : {"000", "099", "600", "999"}) {
+    CAPTURE(status);
+    AnswerReader reader;
+    std::string input =
+        "HTTP/1.1 " + status + " X\r\nContent-Length: 1\r\n\r\na";
+    CHECK(reader.Feed(&input) == ReadState::kMalformed);
+    CHECK(reader.FeedEnd() == ReadState::kMalformed);
+  }
+  for (const std::string status : {"100", "599"}) {
+    CAPTURE(status);
+    AnswerReader reader;
+    std::string input =
+        "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n";
+    CHECK(reader.Feed(&input) == ReadState::kWhole);
+  }
+}
+
 TEST_CASE("pieces of a body come out as they come in") {
   AnswerReader reader;
   std::string input = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nab";
