--- a/samphirebank/web/readers.cc
+++ b/samphirebank/web/readers.cc
@@ -53,6 +53,17 @@
   return ReadState::kWhole;
 }
 
+// HasFoldedLine returns whether a line of a head starts with a blank, which the
+// parser joins to the value of the line before. `input` begins with what the
+// parser has not taken: it takes a line when the next one has begun.
+bool HasFoldedLine(std::string_view input) {
+  const bool ends_head = input.starts_with("\r\n");
+  if (ends_head) return false;
+  const std::string_view head = input.substr(0, input.find("\r\n\r\n"));
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 // BoundRest returns `state`, or kMalformed if the parser needs more than
 // `max_rest` bytes to go on. It bounds a head, but neither the line before a
 // chunk nor the trailer fields.
@@ -142,6 +153,7 @@
 AnswerReader::~AnswerReader() = default;
 
 ReadState AnswerReader::Feed(std::string* input) {
+  if (!this->head_done() && HasFoldedLine(*input)) return ReadState::kMalformed;
   const ReadState state = FeedParser(this->impl->parser, input);
   if (!this->HasValidStatus()) return ReadState::kMalformed;
   return BoundRest(state, *input, kAnswerHeadBytes);
--- a/samphirebank/web/web_test.cc
+++ b/samphirebank/web/web_test.cc
@@ -207,6 +207,48 @@
   }
 }
 
+// Guards against a head that is read around a broken line, or with one joined
+// to the line before.
+TEST_CASE("a blank or control byte in a field's name is malformed") {
+  for (const std::string line :
+       {"X Bad: 1", "X-Bad : 1", " X-Bad: 1", "\tX-Bad: 1", "X\tBad: 1",
+        "X\x01Z: 1", "X\x7fZ: 1", "X\rZ: 1", "X\nZ: 1", "Content-Length : 1"}) {
+    for (const std::string before : {"", "X-A: b\r\n"}) {
+      CAPTURE(line);
+      CAPTURE(before);
+      const std::string head = "HTTP/1.1 200 OK\r\n" + before + line +
+                               "\r\nContent-Length: 1\r\n\r\na";
+      AnswerReader at_once;
+      std::string input = head;
+      CHECK(at_once.Feed(&input) == ReadState::kMalformed);
+      AnswerReader bytewise;
+      ReadState state = ReadState::kMore;
+      input.clear();
+      for (size_t i = 0; i < head.size() && state == ReadState::kMore; ++i) {
+        input += head[i];
+        state = bytewise.Feed(&input);
+      }
+      CHECK(state == ReadState::kMalformed);
+    }
+  }
+}
+
+TEST_CASE("a body's lines may begin with a blank") {
+  const std::string body = "x\r\n a\r\n\tb";
+  const std::string all =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+      "\r\n\r\n" + body;
+  for (size_t size = 0; size < all.size(); ++size) {
+    CAPTURE(size);
+    AnswerReader reader;
+    std::string input = all.substr(0, size);
+    CHECK(reader.Feed(&input) == ReadState::kMore);
+    input += all.substr(size);
+    CHECK(reader.Feed(&input) == ReadState::kWhole);
+    CHECK(reader.TakeBody() == body);
+  }
+}
+
 TEST_CASE("pieces of a body come out as they come in") {
   AnswerReader reader;
   std::string input = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nab";
