--- a/samphirebank/web/connection.cc
+++ b/samphirebank/web/connection.cc
@@ -87,7 +87,8 @@
       this->socket.read_some(asio::buffer(SharedBuffer()), error);
   if (error == asio::error::would_block) return this->WaitToRead();
   if (error) {
-    return this->Fail(error == asio::error::eof ? End::kClosed : End::kBroken);
+    const bool is_orderly = error == asio::error::eof && !this->write_broken;
+    return this->Fail(is_orderly ? End::kClosed : End::kBroken);
   }
   if (!this->lingering) {
     this->received.append(SharedBuffer().data(), count);
@@ -139,8 +140,13 @@
 void Connection::WriteSome() {
   error_code error;
   this->WritePending(error);
-  // A broken connection shows when it is read.
-  if (error && error != asio::error::would_block) return;
+  // A broken connection shows when it is read, but the kernel reports a reset
+  // only once: after a write that failed for it, a read finds an orderly end.
+  // A pipe breaks when the other side had closed in an orderly way before.
+  if (error && error != asio::error::would_block) {
+    if (error != asio::error::broken_pipe) this->write_broken = true;
+    return;
+  }
   if (this->queued() > 0) return this->WaitToWrite();
   if (this->closing) this->BeginLinger();
 }
--- a/samphirebank/web/web.h
+++ b/samphirebank/web/web.h
@@ -208,7 +208,8 @@
   bool reading = false;
   bool paused = false;
   bool writing = false;
-  bool closing = false;  // once all is sent
+  bool write_broken = false;  // a write found that it was reset
+  bool closing = false;       // once all is sent
   bool lingering = false;
 };
 
--- a/samphirebank/web/web_test.cc
+++ b/samphirebank/web/web_test.cc
@@ -278,6 +278,49 @@
   CHECK(chunked.TakeBody() == "hello" + std::string(300, 'x'));
 }
 
+// Ending is what the other side does with a connection that it does not read.
+enum class Ending { kReset, kCloseThenReset };
+
+// EndOfWriting returns how a connection ends that has much to send when the
+// other side sends `part` and ends it. `input` gets what was read.
+End EndOfWriting(const std::string& part, Ending ending, std::string* input) {
+  constexpr size_t kMuch = 16 << 20;
+  asio::io_context loop{1};
+  tcp::acceptor acceptor(loop, {asio::ip::make_address_v4("127.0.0.1"), 0});
+  tcp::socket here(loop);
+  here.connect(acceptor.local_endpoint());
+  tcp::socket there = acceptor.accept();
+  const auto writing = std::make_shared<Connection>(std::move(here));
+  std::optional<End> end;
+  writing->Start([&] { *input = writing->input(); },
+                 [&](End how) { end = how; });
+  writing->Send(std::string(kMuch, 'x'));
+  REQUIRE(writing->queued() > 0);
+  there.send(asio::buffer(part));
+  if (ending == Ending::kCloseThenReset) {
+    there.shutdown(tcp::socket::shutdown_send);
+  }
+  there.set_option(asio::socket_base::linger(true, 0));
+  there.close();
+  loop.run_for(std::chrono::seconds(5));
+  REQUIRE(end);
+  return *end;
+}
+
+// Guards against a reset that a write takes from the socket, so that the read
+// after it finds an orderly end.
+TEST_CASE("a connection that is reset while it writes is broken") {
+  std::string input;
+  CHECK(EndOfWriting("part", Ending::kReset, &input) == End::kBroken);
+  CHECK(input == "part");
+}
+
+TEST_CASE("a connection that was closed before it was reset is closed") {
+  std::string input;
+  CHECK(EndOfWriting("all", Ending::kCloseThenReset, &input) == End::kClosed);
+  CHECK(input == "all");
+}
+
 // DescriptorLimit lowers the number of descriptors that this process may open,
 // until it goes out of scope.
 class DescriptorLimit {
