--- /dev/null
+++ b/samphirebank/http/http_test.cc
@@ -0,0 +1,232 @@
+#include "samphirebank/http/http.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <utility>
+
+namespace samphirebank::http {
+namespace {
+
+ReadState ReadAll(const std::string& text, Request* request = nullptr,
+                  ReadLimits limits = {}) {
+  RequestReader reader(limits);
+  std::string input = text;
+  const ReadState state = reader.Feed(&input);
+  if (state == ReadState::kWhole && request != nullptr) {
+    *request = reader.Take();
+  }
+  return state;
+}
+
+TEST_CASE("a request is read however its bytes arrive, and no further") {
+  const std::string text =
+      "POST /a?b=c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  for (size_t step = 1; step <= text.size(); ++step) {
+    RequestReader reader({});
+    std::string input;
+    ReadState state = ReadState::kMore;
+    for (size_t at = 0; at < text.size(); at += step) {
+      input += text.substr(at, step);
+      state = reader.Feed(&input);
+    }
+    CAPTURE(step);
+    REQUIRE(state == ReadState::kWhole);
+    const Request request = reader.Take();
+    CHECK(request.method == "POST");
+    CHECK(request.target == "/a?b=c");
+    CHECK(request.body == "abcde");
+    CHECK(request.headers[0].name == "host");
+  }
+  RequestReader reader({});
+  std::string two = "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n";
+  REQUIRE(reader.Feed(&two) == ReadState::kWhole);
+  CHECK(two == "GET /2 HTTP/1.1\r\n\r\n");
+}
+
+TEST_CASE("requests with doubtful framing are refused") {
+  for (const char* text :
+       {"GET / HTTP/1.1\nHost: x\n\n", "GET / HTTP/1.1\r\nHost : x\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: "
+        "3\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: "
+        "4\r\n\r\nabcd",
+        "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"}) {
+    CAPTURE(text);
+    CHECK(ReadAll(text) == ReadState::kMalformed);
+  }
+}
+
+TEST_CASE("a request beyond the limits is told from a malformed one") {
+  const ReadLimits limits{.head_bytes = 200, .body_bytes = 10};
+  const std::string long_head =
+      "GET / HTTP/1.1\r\nX: " + std::string(300, 'x') + "\r\n\r\n";
+  CHECK(ReadAll(long_head, nullptr, limits) == ReadState::kHeadTooLarge);
+  CHECK(ReadAll("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n", nullptr,
+                limits) == ReadState::kBodyTooLarge);
+}
+
+// Guards against a request that has no end and is kept until memory runs out.
+TEST_CASE("a request without end is refused before it takes much memory") {
+  constexpr size_t kMaxHeld = 256 << 10;
+  const std::string chunked =
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  // Endless is a beginning, and what follows it again and again.
+  struct Endless {
+    std::string beginning;
+    std::string piece;
+  };
+  const std::vector<Endless> cases = {{"", "\r\n"},
+                                      {"POST ", "x"},
+                                      {"POST / HTTP/1.1\r\n", "X: y\r\n"},
+                                      {chunked, "0"},
+                                      {chunked + "5;", "x"},
+                                      {chunked + "0\r\n", "X: y\r\n"},
+                                      {chunked + "0\r\nX: ", "y"}};
+  for (const Endless& item : cases) {
+    CAPTURE(item.beginning);
+    RequestReader reader({.head_bytes = 16 << 10, .body_bytes = 1 << 20});
+    std::string input = item.beginning;
+    ReadState state = ReadState::kMore;
+    size_t fed = input.size();
+    while (state == ReadState::kMore && fed < 2 * kMaxHeld) {
+      for (int i = 0; i < 1000; ++i) input += item.piece;
+      fed += 1000 * item.piece.size();
+      state = reader.Feed(&input);
+    }
+    CHECK(state != ReadState::kMore);
+    CHECK(state != ReadState::kWhole);
+    CHECK(input.size() <= kMaxHeld);
+  }
+}
+
+TEST_CASE("a sender that waits for a 100 is noticed") {
+  RequestReader reader({});
+  std::string input =
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n";
+  CHECK(reader.Feed(&input) == ReadState::kMore);
+  CHECK(reader.wants_continue());
+}
+
+TEST_CASE("an answer is whole by its length, its chunks or its clean end") {
+  std::string input =
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK";
+  AnswerReader sized;
+  CHECK(sized.Feed(&input) == ReadState::kWhole);
+  CHECK(sized.TakeBody() == "abc");
+  CHECK(input == "HTTP/1.1 200 OK");
+
+  input = "HTTP/1.1 200 OK\r\n\r\nab";
+  AnswerReader unframed;
+  CHECK(unframed.Feed(&input) == ReadState::kMore);
+  CHECK(unframed.TakeBody() == "ab");
+  CHECK(unframed.FeedEnd() == ReadState::kWhole);
+
+  input = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n";
+  AnswerReader cut;
+  CHECK(cut.Feed(&input) == ReadState::kMore);
+  CHECK(cut.head_done());
+  CHECK(cut.TakeBody() == "ab");
+  CHECK(cut.FeedEnd() == ReadState::kMalformed);
+
+  AnswerReader silent;
+  CHECK(silent.FeedEnd() == ReadState::kMalformed);
+}
+
+// Guards against an answer whose head breaks off and that is taken for a whole
+// one with an empty or short body.
+TEST_CASE("an answer whose head breaks off anywhere is not whole") {
+  for (const std::string framing :
+       {"Content-Length: 10\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+    const std::string head = "HTTP/1.1 200 OK\r\nX-A: b\r\n" + framing + "\r\n";
+    for (size_t size = 0; size < head.size(); ++size) {
+      CAPTURE(size);
+      AnswerReader reader;
+      std::string input = head.substr(0, size);
+      CHECK(reader.Feed(&input) == ReadState::kMore);
+      CHECK_FALSE(reader.head_done());
+      CHECK(reader.FeedEnd() == ReadState::kMalformed);
+    }
+  }
+}
+
+TEST_CASE("a status that HTTP does not have is malformed") {
+  for (const std::string status : {"000", "099", "600", "999"}) {
+    CAPTURE(status);
+    AnswerReader reader;
+    std::string input =
+        "HTTP/1.1 " + status + " X\r\nContent-Length: 1\r\n\r\na";
+    CHECK(reader.Feed(&input) == ReadState::kMalformed);
+    CHECK(reader.FeedEnd() == ReadState::kMalformed);
+  }
+  for (const std::string status : {"100", "599"}) {
+    CAPTURE(status);
+    AnswerReader reader;
+    std::string input =
+        "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n";
+    CHECK(reader.Feed(&input) == ReadState::kWhole);
+  }
+}
+
+// Guards against a head that is read around a broken line, or with one joined
+// to the line before.
+TEST_CASE("a blank or control byte in a field's name is malformed") {
+  for (const std::string line :
+       {"X Bad: 1", "X-Bad : 1", " X-Bad: 1", "\tX-Bad: 1", "X\tBad: 1",
+        "X\x01Z: 1", "X\x7fZ: 1", "X\rZ: 1", "X\nZ: 1", "Content-Length : 1"}) {
+    for (const std::string before : {"", "X-A: b\r\n"}) {
+      CAPTURE(line);
+      CAPTURE(before);
+      const std::string head = "HTTP/1.1 200 OK\r\n" + before + line +
+                               "\r\nContent-Length: 1\r\n\r\na";
+      AnswerReader at_once;
+      std::string input = head;
+      CHECK(at_once.Feed(&input) == ReadState::kMalformed);
+      AnswerReader bytewise;
+      ReadState state = ReadState::kMore;
+      input.clear();
+      for (size_t i = 0; i < head.size() && state == ReadState::kMore; ++i) {
+        input += head[i];
+        state = bytewise.Feed(&input);
+      }
+      CHECK(state == ReadState::kMalformed);
+    }
+  }
+}
+
+TEST_CASE("a body's lines may begin with a blank") {
+  const std::string body = "x\r\n a\r\n\tb";
+  const std::string all =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+      "\r\n\r\n" + body;
+  for (size_t size = 0; size < all.size(); ++size) {
+    CAPTURE(size);
+    AnswerReader reader;
+    std::string input = all.substr(0, size);
+    CHECK(reader.Feed(&input) == ReadState::kMore);
+    input += all.substr(size);
+    CHECK(reader.Feed(&input) == ReadState::kWhole);
+    CHECK(reader.TakeBody() == body);
+  }
+}
+
+TEST_CASE("pieces of a body come out as they come in") {
+  AnswerReader reader;
+  std::string input = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nab";
+  CHECK(reader.Feed(&input) == ReadState::kMore);
+  CHECK(reader.TakeBody() == "ab");
+  input = "cd";
+  CHECK(reader.Feed(&input) == ReadState::kMore);
+  CHECK(reader.TakeBody() == "cd");
+  input = "ef";
+  CHECK(reader.Feed(&input) == ReadState::kWhole);
+  CHECK(reader.TakeBody() == "ef");
+}
+
+}  // namespace
+}  // namespace samphirebank::http
--- a/samphirebank/web/readers.cc
+++ b/samphirebank/http/readers.cc
@@ -4,14 +4,15 @@
 #include <boost/beast/version.hpp>
 #include <cctype>
 #include <limits>
+#include <string_view>
 #include <utility>
 
-#include "samphirebank/web/web.h"
+#include "samphirebank/http/http.h"
 
-namespace samphirebank::web {
+namespace samphirebank::http {
 namespace {
 
-namespace http = boost::beast::http;
+namespace beast = boost::beast::http;
 using boost::system::error_code;
 
 constexpr uint32_t kAnswerHeadBytes = 64 << 10;
@@ -33,9 +34,9 @@
 }
 
 ReadState StateOf(const error_code& error) {
-  if (error == http::error::need_more) return ReadState::kMore;
-  if (error == http::error::header_limit) return ReadState::kHeadTooLarge;
-  if (error == http::error::body_limit) return ReadState::kBodyTooLarge;
+  if (error == beast::error::need_more) return ReadState::kMore;
+  if (error == beast::error::header_limit) return ReadState::kHeadTooLarge;
+  if (error == beast::error::body_limit) return ReadState::kBodyTooLarge;
   return ReadState::kMalformed;
 }
 
@@ -76,7 +77,7 @@
 }  // namespace
 
 struct RequestReader::Impl {
-  http::request_parser<http::string_body> parser;
+  beast::request_parser<beast::string_body> parser;
   uint64_t max_rest = 0;
   uint64_t head_bytes = 0;
 };
@@ -108,7 +109,7 @@
 bool RequestReader::wants_continue() const {
   const auto& parser = this->impl->parser;
   if (!parser.is_header_done() || parser.is_done()) return false;
-  const auto expect = parser.get().find(http::field::expect);
+  const auto expect = parser.get().find(beast::field::expect);
   return expect != parser.get().end() &&
          boost::beast::iequals(expect->value(), "100-continue");
 }
@@ -130,7 +131,7 @@
 }
 
 Request RequestReader::Take() {
-  http::request<http::string_body> message = this->impl->parser.release();
+  beast::request<beast::string_body> message = this->impl->parser.release();
   return {.method = std::string(message.method_string()),
           .target = std::string(message.target()),
           .headers = HeadersOf(message),
@@ -139,7 +140,7 @@
 }
 
 struct AnswerReader::Impl {
-  http::response_parser<http::string_body> parser;
+  beast::response_parser<beast::string_body> parser;
 };
 
 AnswerReader::AnswerReader(bool to_head_request)
@@ -192,4 +193,4 @@
   return std::exchange(this->impl->parser.get().body(), {});
 }
 
-}  // namespace samphirebank::web
+}  // namespace samphirebank::http
--- a/samphirebank/net/net.h
+++ b/samphirebank/net/net.h
@@ -26,14 +26,11 @@
 #include <vector>
 
 #include "samphirebank/base/base.h"
+#include "samphirebank/http/http.h"
 
 namespace samphirebank::net {
 
-// Header is one HTTP header field; names are in lower case, without a colon.
-struct Header {
-  std::string name;
-  std::string value;
-};
+using http::Header;
 
 // FindHeader returns the first value of `name` (lower case), if it is there.
 std::optional<std::string> FindHeader(const std::vector<Header>& headers,
--- a/samphirebank/web/web.h
+++ b/samphirebank/web/web.h
@@ -1,8 +1,7 @@
 // File: web.h
 //
-// HTTP/1.1 on Boost.Beast and Boost.Asio: readers of requests and answers that
-// are fed bytes and do no I/O, connections that are told what to send, and a
-// small server for whole requests.
+// HTTP/1.1 on Boost.Asio: connections that are told what to send and whose
+// bytes go to the readers of http, and a small server for whole requests.
 //
 // Thread rules: everything belongs to the thread that runs the io_context.
 //
@@ -28,6 +27,7 @@
 #include <vector>
 
 #include "samphirebank/base/base.h"
+#include "samphirebank/http/http.h"
 #include "samphirebank/net/net.h"
 
 namespace samphirebank::web {
@@ -35,90 +35,12 @@
 namespace asio = boost::asio;
 using tcp = boost::asio::ip::tcp;
 
-// Headers are header fields with names in lower case.
-using Headers = std::vector<net::Header>;
-
-// ReadState says how far a reader is.
-enum class ReadState : uint8_t {
-  kMore,          // needs more bytes
-  kWhole,         // the message was read to its end
-  kMalformed,     // not HTTP, or with contradictory framing
-  kHeadTooLarge,  // above ReadLimits::head_bytes
-  kBodyTooLarge,  // above ReadLimits::body_bytes
-};
-
-// ReadLimits bound a message.
-struct ReadLimits {
-  uint64_t head_bytes = 16 << 10;
-  uint64_t body_bytes = 8 << 20;
-};
-
-// Request is a whole request.
-struct Request {
-  std::string method{};
-  std::string target{};  // path and query
-  Headers headers{};
-  std::string body{};
-  bool keep_alive = true;
-  // The sender has closed the connection: it has given the request up. Set by
-  // Server only.
-  bool sender_gone = false;
-};
-
-// RequestReader reads one request.
-class RequestReader {
- public:
-  explicit RequestReader(ReadLimits limits);
-  ~RequestReader();
-  RequestReader(const RequestReader&) = delete;
-  RequestReader& operator=(const RequestReader&) = delete;
-
-  // Feed takes bytes from the front of `input`, up to the request's end.
-  ReadState Feed(std::string* input);
-  // head_done says whether the head was read.
-  bool head_done() const;
-  // wants_continue says whether the head is read and the sender waits for a
-  // 100 before it sends the body.
-  bool wants_continue() const;
-  // held is how many bytes the request takes, as far as is known: its head, and
-  // its body by the stated length or by what was read.
-  uint64_t held() const;
-  // Take returns the request after kWhole.
-  Request Take();
-  // TakeHead returns the request without its body, once head_done.
-  Request TakeHead();
-
- private:
-  struct Impl;
-  std::unique_ptr<Impl> impl;
-};
-
-// AnswerReader reads one answer, piece by piece.
-class AnswerReader {
- public:
-  // Answers to HEAD have no body.
-  explicit AnswerReader(bool to_head_request = false);
-  ~AnswerReader();
-  AnswerReader(const AnswerReader&) = delete;
-  AnswerReader& operator=(const AnswerReader&) = delete;
-
-  // Feed takes bytes from the front of `input`, up to the answer's end.
-  ReadState Feed(std::string* input);
-  // FeedEnd tells that the sender closed its side in an orderly way. An answer
-  // without a stated length is whole then.
-  ReadState FeedEnd();
-  bool head_done() const;
-  int status() const;
-  Headers TakeHeaders();
-  // TakeBody returns what was read of the body since the last call.
-  std::string TakeBody();
-
- private:
-  bool HasValidStatus() const;
-
-  struct Impl;
-  std::unique_ptr<Impl> impl;
-};
+using http::AnswerReader;
+using http::Headers;
+using http::ReadLimits;
+using http::ReadState;
+using http::Request;
+using http::RequestReader;
 
 // Answer is a whole answer to send.
 struct Answer {
