--- a/samphirebank/link/link_test.cc
+++ b/samphirebank/link/link_test.cc
@@ -4,6 +4,8 @@
 #include <sodium.h>
 #include <unistd.h>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstdio>
 #include <fstream>
@@ -64,6 +66,54 @@
   CHECK(sizes[1] > 300'000);
 }
 
+// SendBytewise connects to `to` and sends `bytes` in pieces of one, then closes
+// or resets the connection.
+void SendBytewise(const net::SocketAddress& to, const std::string& bytes,
+                  bool resets) {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context own;
+  tcp::socket socket(own);
+  socket.connect({boost::asio::ip::make_address_v4(to.ip), to.port});
+  socket.set_option(tcp::no_delay(true));
+  for (const char byte : bytes) {
+    socket.send(boost::asio::buffer(&byte, sizeof(byte)));
+  }
+  if (resets) socket.set_option(boost::asio::socket_base::linger(true, 0));
+}
+
+// Guards against a message of a peer that broke off, or that was followed by
+// other bytes, and that is taken for a whole one.
+TEST_CASE("a message that breaks off or goes on is none") {
+  REQUIRE(sodium_init() >= 0);
+  boost::asio::io_context loop;
+  const net::SocketAddress to{"127.0.0.1", testing::FreePort()};
+  size_t num_received = 0;
+  const Link receiver(
+      loop, {.address = to,
+             .key = kKey,
+             .self = InstanceId("b"),
+             .on_packet = [&](const wire::Opened&) { ++num_received; }});
+  wire::Sealer sealer(kKey, InstanceId("a"), BootId(1));
+  const std::string sound = sealer.Seal(
+      wire::Encode(Text{.text = std::string(2'000, 't')}),
+      {.receiver = to.ToText(), .transport = wire::Transport::kConnection});
+  const auto run = [&] { loop.run_for(std::chrono::milliseconds(50)); };
+  for (const size_t size :
+       {size_t{0}, size_t{1}, size_t{20}, sound.size() / 2, sound.size() - 1}) {
+    CAPTURE(size);
+    SendBytewise(to, sound.substr(0, size), false);
+    SendBytewise(to, sound.substr(0, size), true);
+    run();
+    CHECK(num_received == 0);
+  }
+  SendBytewise(to, sound + "x", false);
+  run();
+  CHECK(num_received == 0);
+  SendBytewise(to, sound, false);
+  for (int i = 0; i < 100 && num_received == 0; ++i) run();
+  CHECK(num_received == 1);
+}
+
 // Mailbox collects what is sent to an address, a message each, unopened.
 class Mailbox {
  public:
--- a/samphirebank/net/net_test.cc
+++ b/samphirebank/net/net_test.cc
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cstring>
 #include <filesystem>
 #include <iterator>
 #include <optional>
@@ -449,6 +450,56 @@
   CHECK(sizes == std::vector<size_t>{10, 200'000, 5'000});
 }
 
+// WithLength returns a message as it goes over a peers' connection.
+std::string WithLength(uint32_t length, const std::string& message) {
+  const uint32_t network = htonl(length);
+  std::string bytes(sizeof(network), '\0');
+  std::memcpy(bytes.data(), &network, sizeof(network));
+  return bytes + message;
+}
+
+// SendAndReset sends to a peer and resets the connection.
+void SendAndReset(uint16_t port, const std::string& bytes) {
+  const int descriptor = Connected(port);
+  SendAll(descriptor, bytes, Pace::kBytewise);
+  const linger at_once{.l_onoff = 1, .l_linger = 0};
+  setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  close(descriptor);
+}
+
+TEST_CASE("a peer's message that breaks off is none, and holds up no other") {
+  const std::string message(3'000, 'm');
+  const std::vector<std::string> broken = {
+      "", std::string(3, '\0'), WithLength(3'000, ""),
+      WithLength(3'000, message.substr(1)),
+      WithLength(kMaxPeerMessage + 1, message)};
+  Loop loop;
+  std::vector<std::string> messages;
+  const auto receiver = loop.OpenPeerSocket(
+      {.on_message = [&](const SocketAddress&, std::string_view bytes) {
+        messages.emplace_back(bytes);
+        loop.Stop();
+      }});
+  const uint16_t port = receiver->port();
+  // The sockets block, so they are in a process of their own.
+  const pid_t child = fork();
+  if (child == 0) {
+    for (const std::string& bytes : broken) {
+      const int descriptor = Connected(port);
+      SendAll(descriptor, bytes, Pace::kBytewise);
+      close(descriptor);
+      SendAndReset(port, bytes);
+    }
+    const int sound = Connected(port);
+    SendAll(sound, WithLength(3'000, message), Pace::kBytewise);
+    close(sound);
+    _exit(0);
+  }
+  RunLimited(loop);
+  waitpid(child, nullptr, 0);
+  CHECK((messages == std::vector<std::string>{message}));
+}
+
 TEST_CASE("socket addresses are numbers only") {
   CHECK(ParseSocketAddress("127.0.0.1:80") ==
         SocketAddress{.ip = "127.0.0.1", .port = 80});
