--- a/samphirebank/http/http.h
+++ b/samphirebank/http/http.h
@@ -33,7 +33,7 @@
 enum class ReadState : uint8_t {
   kMore,          // needs more bytes
   kWhole,         // the message was read to its end
-  kMalformed,     // not HTTP, or with contradictory framing
+  kMalformed,     // not HTTP, or with framing that cannot be relied on
   kHeadTooLarge,  // above ReadLimits::head_bytes
   kBodyTooLarge,  // above ReadLimits::body_bytes
 };
@@ -105,8 +105,6 @@
   std::string TakeBody();
 
  private:
-  bool HasValidStatus() const;
-
   struct Impl;
   std::unique_ptr<Impl> impl;
 };
--- a/samphirebank/http/http_test.cc
+++ b/samphirebank/http/http_test.cc
@@ -200,6 +200,24 @@
   }
 }
 
+TEST_CASE("a transfer coding but chunks is malformed") {
+  for (const std::string coding :
+       {"gzip", "chunked, gzip", "gzip, chunked", "identity"}) {
+    for (const std::string more : {"", "Content-Length: 2\r\n"}) {
+      CAPTURE(coding);
+      CAPTURE(more);
+      std::string input = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
+      input.append(coding).append("\r\n").append(more).append("\r\nhi");
+      AnswerReader reader;
+      CHECK(reader.Feed(&input) == ReadState::kMalformed);
+    }
+  }
+  std::string input =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n0\r\n\r\n";
+  AnswerReader reader;
+  CHECK(reader.Feed(&input) == ReadState::kWhole);
+}
+
 TEST_CASE("a body's lines may begin with a blank") {
   const std::string body = "x\r\n a\r\n\tb";
   const std::string all =
--- a/samphirebank/http/readers.cc
+++ b/samphirebank/http/readers.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/version.hpp>
 #include <cctype>
 #include <limits>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -74,6 +75,18 @@
   return is_endless ? ReadState::kMalformed : state;
 }
 
+// IsValidHead judges an answer's head by what the parser leaves open. No coding
+// but chunks is asked for, and none can be undone.
+template <typename Head>
+bool IsValidHead(const Head& head) {
+  const auto status = static_cast<int>(head.result_int());
+  const auto coding = head.find(beast::field::transfer_encoding);
+  const bool has_valid_coding =
+      coding == head.end() || boost::beast::iequals(coding->value(), "chunked");
+  return has_valid_coding && status >= kLowestStatus &&
+         status <= kHighestStatus;
+}
+
 }  // namespace
 
 struct RequestReader::Impl {
@@ -141,6 +154,16 @@
 
 struct AnswerReader::Impl {
   beast::response_parser<beast::string_body> parser;
+  std::optional<bool> is_valid_head;  // once it was read
+
+  // HasValidHead returns whether nothing wrong was read of the head so far.
+  bool HasValidHead() {
+    if (!this->parser.is_header_done()) return true;
+    if (!this->is_valid_head) {
+      this->is_valid_head = IsValidHead(this->parser.get());
+    }
+    return *this->is_valid_head;
+  }
 };
 
 AnswerReader::AnswerReader(bool to_head_request)
@@ -156,12 +179,12 @@
 ReadState AnswerReader::Feed(std::string* input) {
   if (!this->head_done() && HasFoldedLine(*input)) return ReadState::kMalformed;
   const ReadState state = FeedParser(this->impl->parser, input);
-  if (!this->HasValidStatus()) return ReadState::kMalformed;
+  if (!this->impl->HasValidHead()) return ReadState::kMalformed;
   return BoundRest(state, *input, kAnswerHeadBytes);
 }
 
 ReadState AnswerReader::FeedEnd() {
-  if (!this->HasValidStatus()) return ReadState::kMalformed;
+  if (!this->impl->HasValidHead()) return ReadState::kMalformed;
   if (this->impl->parser.is_done()) return ReadState::kWhole;
   if (!this->impl->parser.got_some()) return ReadState::kMalformed;
   error_code error;
@@ -170,13 +193,6 @@
   return whole ? ReadState::kWhole : ReadState::kMalformed;
 }
 
-// HasValidStatus returns whether the status is one of HTTP, as far as it was
-// read.
-bool AnswerReader::HasValidStatus() const {
-  return !this->head_done() ||
-         (this->status() >= kLowestStatus && this->status() <= kHighestStatus);
-}
-
 bool AnswerReader::head_done() const {
   return this->impl->parser.is_header_done();
 }
