--- a/samphirebank/net/client.cc
+++ b/samphirebank/net/client.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "samphirebank/net/internal/client_call.h"
 #include "samphirebank/net/internal/header_fields.h"
@@ -19,6 +20,8 @@
 // All that the kernel keeps of a connection. The loop closes one that was reset
 // after the turn in which that shows.
 constexpr int kMaxReadsPerTurn = 16;
+// Of the fields that are passed on; a router's answer holds a few more.
+constexpr size_t kMaxFieldBytes = 7 << 10;
 
 bool IsInformational(int status) { return status < 200; }
 
@@ -52,6 +55,15 @@
   return std::make_unique<http::AnswerReader>(request.method == "HEAD");
 }
 
+size_t BytesOf(const std::vector<Header>& headers) {
+  constexpr size_t kMarks = 4;  // ": " and the line's end
+  size_t bytes = 0;
+  for (const Header& header : headers) {
+    bytes += header.name.size() + header.value.size() + kMarks;
+  }
+  return bytes;
+}
+
 // BeginConnecting returns a socket that connects to an address, or -1.
 int BeginConnecting(const SocketAddress& to) {
   const int descriptor =
@@ -158,7 +170,8 @@
   getsockopt(this->descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
   if (error != 0) return this->Fail("cannot connect");
   this->connected = true;
-  this->output = HeadOf(this->request) + this->request.body;
+  this->output = HeadOf(this->request);
+  this->output += std::exchange(this->request.body, {});
   this->SetTimer(this->request.first_byte_timeout, "no answer began in time");
   return true;
 }
@@ -215,10 +228,14 @@
 bool ClientCallImpl::TakeHead() {
   if (this->head_taken || !this->reader->head_done()) return true;
   this->head_taken = true;
+  const std::vector<Header> headers =
+      internal::KeepKnown(this->reader->TakeHeaders());
+  if (BytesOf(headers) > kMaxFieldBytes) {
+    return this->Fail("the answer is malformed");
+  }
   this->SetTimer(this->request.idle_timeout, "the answer stopped");
   if (this->request.on_head) {
-    this->request.on_head(this->reader->status(),
-                          internal::KeepKnown(this->reader->TakeHeaders()));
+    this->request.on_head(this->reader->status(), headers);
   }
   return !this->ended;
 }
--- a/samphirebank/net/net_test.cc
+++ b/samphirebank/net/net_test.cc
@@ -245,6 +245,12 @@
   }
 }
 
+// Guards against fields that a router cannot pass on to its caller.
+TEST_CASE("an answer with too long fields is broken") {
+  CheckBroken("HTTP/1.1 200 OK\r\ncontent-type: " + std::string(8'000, 'x') +
+              "\r\ncontent-length: 2\r\n\r\nhi");
+}
+
 TEST_CASE("an answer without a length that is reset early is not whole") {
   Loop loop;
   Answer answer;
