--- a/samphirebank/net/client.cc
+++ b/samphirebank/net/client.cc
@@ -264,7 +264,8 @@
 
 void ClientCallImpl::OnClosed() {
   this->wsi = nullptr;
-  if (this->impl.stopping) return;
+  // The loop's own end needs no report.
+  if (this->impl.stopping) return this->StopTimer();
   this->ReportFailure("the connection closed before the answer was whole");
 }
 
--- a/samphirebank/net/net_test.cc
+++ b/samphirebank/net/net_test.cc
@@ -355,6 +355,22 @@
   CHECK(answer.error.sent == SendState::kSent);
 }
 
+// Guards against a timer of the call that outlives the loop's context.
+TEST_CASE("a loop may end while a call waits for its answer") {
+  Answer answer;
+  {
+    Loop loop;
+    const uint16_t port =
+        loop.Listen({.on_request = [&](const std::shared_ptr<ServerStream>&) {
+          loop.Stop();
+        }});
+    loop.Call(Recording(loop, answer, port));
+    RunLimited(loop);
+  }
+  CHECK_FALSE(answer.whole);
+  CHECK_FALSE(answer.failed);
+}
+
 TEST_CASE("a caller that goes away is noticed") {
   Loop loop;
   bool closed = false;
