A gateway logs how long a route table was on its way and waited

Logs could not tell a table that an overloaded gateway reads late from one that was long on its way, so the hypotheses could not be told apart.

Change: event 532 says in `detail` when the message was sent, by its sender's clock, and for how long the loop had been busy.

--- a/samphirebank/events/catalogue.cc
+++ b/samphirebank/events/catalogue.cc
@@ -73,7 +73,7 @@
       {Number::kPoolAssigned, "pool-assigned", kInfo, "The control group chose an instance to share out a pool.", {"service", "region", "peer", "epoch", "address"}},
       {Number::kTableAccepted, "table-accepted", kInfo, "A route table is durable.", {"revision", "bytes", "duration_ms", "count", "detail"}},
       {Number::kTableRefused, "table-refused", kInfo, "A route table was refused, or is not known to be durable.", {"revision", "status", "reason", "detail"}},
-      {Number::kTableInForce, "table-in-force", kInfo, "A route table is in force on this instance, and how long ago this instance first heard of it.", {"revision", "peer", "count", "duration_ms"}},
+      {Number::kTableInForce, "table-in-force", kInfo, "A route table is in force on this instance, and how long ago this instance first heard of it.", {"revision", "peer", "count", "duration_ms", "detail"}},
       {Number::kControlLost, "control-lost", kWarning, "No control instance is heard; this instance goes on with what it knows.", {"duration_ms", "revision", "count"}},
       {Number::kControlRegained, "control-regained", kInfo, "A control instance is heard again.", {"peer", "duration_ms", "revision"}},
       {Number::kZoneEvacuated, "zone-evacuated", kInfo, "An order to send nothing more to the targets of a zone is durable.", {"revision", "duration_ms", "detail"}},
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -274,7 +274,10 @@
   void OnPacket(const wire::Opened& opened);
   void OnUpdate(const InstanceId& from, const follow::Update& update);
   void NoteZones(const InstanceId& from);
-  void InstallTable(const InstanceId& from, routes::RouteTable newer);
+  void InstallTable(const wire::Opened& message, routes::RouteTable newer);
+  // ArrivalText says how old a message is by its sender's clock, and for how
+  // long this instance has been busy without a break.
+  std::string ArrivalText(const wire::Opened& message, TimePoint now) const;
   net::SocketAddress PeerAddress(const InstanceId& instance) const;
   dispatch::Distance DistanceTo(const ZoneId& zone) const;
   ServiceId ServiceOf(const TargetId& target) const;
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -228,7 +228,7 @@
         } else if (opened.packet.kind == wire::Kind::kTableUpdate) {
           BOOST_LEAF_AUTO(update,
                           wire::Decode<follow::TableUpdate>(opened.packet));
-          this->InstallTable(opened.from, std::move(update.table));
+          this->InstallTable(opened, std::move(update.table));
         } else if (opened.packet.kind == wire::Kind::kLoadSum) {
           BOOST_LEAF_AUTO(sum, wire::Decode<fleetload::LoadSum>(opened.packet));
           this->TakeLoadSum(sum.load, Now());
@@ -305,21 +305,34 @@
                .detail = names});
 }
 
-void Server::InstallTable(const InstanceId& from, routes::RouteTable newer) {
+void Server::InstallTable(const wire::Opened& message,
+                          routes::RouteTable newer) {
   const bool is_newer =
       this->table == nullptr || newer.version > this->table->table.version;
   if (!is_newer) return;
-  const Duration waited =
-      follow::RecordInstalledTable(this->follower, from, newer.version, Now());
+  const TimePoint now = Now();
+  const Duration waited = follow::RecordInstalledTable(
+      this->follower, message.from, newer.version, now);
   events::Log({.number = Number::kTableInForce,
-               .peer = from,
+               .peer = message.from,
                .revision = Revision(newer.version.value),
                .duration = waited,
-               .count = static_cast<int64_t>(newer.routes.size())});
+               .count = static_cast<int64_t>(newer.routes.size()),
+               .detail = this->ArrivalText(message, now)});
   this->table = std::make_shared<const routes::RouteIndex>(
       routes::BuildIndex(std::move(newer)));
 }
 
+std::string Server::ArrivalText(const wire::Opened& message,
+                                TimePoint now) const {
+  const int64_t age_ms =
+      events::CurrentStamp().wall_ms - message.packet.clock_ms;
+  const auto busy_time = std::chrono::duration_cast<milliseconds>(
+      process::BusyTime(this->busy, now));
+  return "sent " + std::to_string(age_ms) + " ms before, loop busy for " +
+         std::to_string(busy_time.count()) + " ms";
+}
+
 net::SocketAddress Server::PeerAddress(const InstanceId& instance) const {
   return {.ip = instance.value, .port = this->settings.peer_port};
 }
