A busy instance reads its peers' messages between callers' events

What callers saw, by the report: a change that had been acknowledged was not in force in time at some gateways.

Cause: a route table waited in the same queue as the events of callers and targets. It takes a turn of the loop to accept its connection, some to read it and one to see its end, and on an overloaded gateway a turn lasts for some tenths of a second.

Change: a loop that is busy takes the messages of peers each 10 ms, and sends a gateway's polls. Coordinators run the same loop.

--- a/samphirebank/coordinator/coordinator.cc
+++ b/samphirebank/coordinator/coordinator.cc
@@ -10,7 +10,8 @@
   return process::Run("coordinator", [&](boost::asio::io_context& loop) {
     Server server(loop, settings, dialect);
     process::OnStop(loop, [&] { server.Stop([&loop] { loop.stop(); }); });
-    loop.run();
+    process::BusyClock busy;
+    process::RunToEnd(loop, busy, [&server] { server.ReadPeers(); });
     return server.failed() ? 1 : 0;
   });
 }
--- a/samphirebank/coordinator/internal/server.h
+++ b/samphirebank/coordinator/internal/server.h
@@ -71,6 +71,8 @@
   // and all orders have their answers. Until then the instance serves as
   // before.
   void Stop(std::function<void()> done);
+  // ReadPeers is for whoever runs the loop; see process::RunToEnd.
+  void ReadPeers() { this->peers->ReadWaiting(); }
   // failed says whether the instance had to stop.
   bool failed() const { return this->has_failed; }
 
--- a/samphirebank/gateway/gateway.cc
+++ b/samphirebank/gateway/gateway.cc
@@ -17,7 +17,8 @@
     Server server(loop, settings, dialect);
     process::OnStop(loop,
                     [&] { server.BeginShutdown([&loop] { loop.stop(); }); });
-    process::RunToEnd(loop, server.busy_clock());
+    process::RunToEnd(loop, server.busy_clock(),
+                      [&server] { server.ReadPeers(); });
     return 0;
   });
 }
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -94,8 +94,10 @@
   // KeepsCaller says whether a connection is kept after the answer that begins
   // now.
   bool KeepsCaller(TimePoint now);
-  // busy_clock is for whoever runs the loop.
+  // busy_clock and ReadPeers are for whoever runs the loop; see
+  // process::RunToEnd.
   process::BusyClock& busy_clock() { return this->busy; }
+  void ReadPeers();
   // ShouldShed says whether a request of an organisation is refused at once
   // because this instance is overloaded.
   bool ShouldShed(const OrganisationId& organisation, uint64_t seed,
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -219,6 +219,13 @@
   }
 }
 
+// Coordinators send new tables to those who poll, so polls do not wait behind
+// other events either.
+void Server::ReadPeers() {
+  this->peers->ReadWaiting();
+  this->SendPolls(Now());
+}
+
 void Server::OnPacket(const wire::Opened& opened) {
   wire::leaf::try_handle_all(
       [&]() -> wire::leaf::result<void> {
--- a/samphirebank/link/link.cc
+++ b/samphirebank/link/link.cc
@@ -11,6 +11,7 @@
 #include <stdexcept>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "samphirebank/events/events.h"
 #include "samphirebank/web/web.h"
@@ -85,8 +86,22 @@
     }
   }
 
+  void ReadWaiting() {
+    this->ReadDatagrams();
+    this->listener.AcceptWaiting();
+    const auto open = this->incoming;  // reading may end some
+    for (const std::weak_ptr<web::Connection>& weak : open) {
+      if (const auto connection = weak.lock()) connection->ReadWaiting();
+    }
+  }
+
   void Receive(const std::shared_ptr<web::Connection>& connection) {
     const std::weak_ptr<web::Connection> weak = connection;
+    std::erase_if(this->incoming, [](const auto& item) {
+      const auto known = item.lock();
+      return known == nullptr || known->closed();
+    });
+    this->incoming.push_back(weak);
     connection->Start(
         [weak] {
           const auto open = weak.lock();
@@ -161,6 +176,7 @@
   wire::Sealer sealer;
   wire::Opener opener;
   web::Listener listener;
+  std::vector<std::weak_ptr<web::Connection>> incoming;  // some have ended
   // Being connected, by receiver and kind: many of one kind do not hold up
   // those of another.
   std::map<std::pair<net::SocketAddress, wire::Kind>, uint32_t> transfers;
@@ -171,6 +187,8 @@
 
 Link::~Link() = default;
 
+void Link::ReadWaiting() { this->impl->ReadWaiting(); }
+
 void Link::Send(const net::SocketAddress& to, wire::Packet packet) {
   const events::Stamp stamp = events::CurrentStamp();
   packet.clock_ms = stamp.wall_ms;
--- a/samphirebank/link/link.h
+++ b/samphirebank/link/link.h
@@ -45,6 +45,11 @@
   // Send sends a message; it returns before the message has left.
   void Send(const net::SocketAddress& to, wire::Packet packet);
 
+  // ReadWaiting takes the messages that have arrived, without waiting for the
+  // loop. A busy process calls it between other events; see process::RunToEnd.
+  // Must not be called by `on_packet`.
+  void ReadWaiting();
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl;
--- a/samphirebank/link/link_test.cc
+++ b/samphirebank/link/link_test.cc
@@ -4,19 +4,24 @@
 #include <sodium.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <chrono>
 #include <cstdio>
 #include <fstream>
 #include <iterator>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
 #include "samphirebank/base/base.h"
 #include "samphirebank/events/events.h"
+#include "samphirebank/process/process.h"
 #include "samphirebank/testing/processes.h"
 #include "samphirebank/web/web.h"
 
@@ -195,6 +200,66 @@
   CHECK(num_tables == 1);
 }
 
+// BusyHandlers keeps a loop busy: `count` handlers, each of which takes a
+// millisecond and is ready again at once.
+class BusyHandlers {
+ public:
+  BusyHandlers(boost::asio::io_context& busy_loop, size_t count)
+      : loop(busy_loop) {
+    for (size_t i = 0; i < count; ++i) this->Post();
+  }
+
+  std::atomic<size_t> num_run = 0;
+
+ private:
+  void Post() {
+    boost::asio::post(this->loop, [this] {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      ++this->num_run;
+      this->Post();
+    });
+  }
+
+  boost::asio::io_context& loop;
+};
+
+// Guards against route tables that an overloaded instance reads some turns of
+// its loop late, behind the events of its callers.
+TEST_CASE("a busy loop reads a message before a turn of its other events") {
+  REQUIRE(sodium_init() >= 0);
+  constexpr size_t kEventsPerTurn = 300;
+  boost::asio::io_context loop;
+  const net::SocketAddress to{"127.0.0.1", testing::FreePort()};
+  BusyHandlers callers(loop, kEventsPerTurn);
+  size_t read_at = 0;
+  Link receiver(loop, {.address = to,
+                       .key = kKey,
+                       .self = InstanceId("b"),
+                       .on_packet = [&](const wire::Opened&) {
+                         read_at = callers.num_run;
+                         loop.stop();
+                       }});
+  wire::Sealer sealer(kKey, InstanceId("a"), BootId(1));
+  const std::string table = sealer.Seal(
+      wire::Encode(Text{.text = std::string(100'000, 't')}),
+      {.receiver = to.ToText(), .transport = wire::Transport::kConnection});
+  std::atomic<size_t> sent_at = 0;
+  std::thread sender([&] {
+    while (callers.num_run < kEventsPerTurn) std::this_thread::yield();
+    boost::asio::io_context own;
+    boost::asio::ip::tcp::socket socket(own);
+    socket.connect({boost::asio::ip::make_address_v4(to.ip), to.port});
+    boost::asio::write(socket, boost::asio::buffer(table));
+    socket.close();
+    sent_at = callers.num_run.load();
+  });
+  process::BusyClock busy;
+  process::RunToEnd(loop, busy, [&] { receiver.ReadWaiting(); });
+  sender.join();
+  REQUIRE(sent_at > 0);
+  CHECK(read_at < sent_at + kEventsPerTurn);
+}
+
 TEST_CASE("a refused packet is logged with its reason and sender") {
   REQUIRE(sodium_init() >= 0);
   const std::string path = "link_test." + std::to_string(getpid()) + ".log";
--- a/samphirebank/process/process.cc
+++ b/samphirebank/process/process.cc
@@ -63,6 +63,17 @@
   return code;
 }
 
+// PollReady runs handlers until none is ready.
+void PollReady(boost::asio::io_context& loop,
+               const std::function<void()>& read_peers) {
+  TimePoint read_at = Now();
+  while (loop.poll_one() > 0) {
+    if (Now() - read_at < kPeerReadInterval) continue;
+    read_peers();
+    read_at = Now();
+  }
+}
+
 }  // namespace
 
 TimePoint Now() { return std::chrono::steady_clock::now(); }
@@ -100,9 +111,10 @@
                   std::min<Duration>(now - due, kMaxTickDelay));
 }
 
-void RunToEnd(boost::asio::io_context& loop, BusyClock& clock) {
+void RunToEnd(boost::asio::io_context& loop, BusyClock& clock,
+              const std::function<void()>& read_peers) {
   while (!loop.stopped()) {
-    loop.poll();
+    PollReady(loop, read_peers);
     clock.busy_since.reset();
     loop.run_one();
     clock.busy_since = Now();
--- a/samphirebank/process/process.h
+++ b/samphirebank/process/process.h
@@ -63,8 +63,13 @@
 Duration TickDelay(const BusyClock& clock, TimePoint due, TimePoint now);
 inline constexpr Duration kMaxTickDelay = std::chrono::milliseconds(150);
 
-// RunToEnd runs `loop` until it is stopped and keeps `clock` up to date.
-void RunToEnd(boost::asio::io_context& loop, BusyClock& clock);
+// RunToEnd runs `loop` until it is stopped and keeps `clock` up to date. While
+// the loop is busy, `read_peers` is called between two handlers once in each
+// kPeerReadInterval, so that messages of other instances do not wait behind
+// the events of callers and targets.
+void RunToEnd(boost::asio::io_context& loop, BusyClock& clock,
+              const std::function<void()>& read_peers);
+inline constexpr Duration kPeerReadInterval = std::chrono::milliseconds(10);
 
 // Run gives `serve` a loop on which SIGHUP is logged (settings are read at the
 // start only), and returns its exit code; 1 if it throws. SIGPIPE and SIGXFSZ
--- a/samphirebank/web/connection.cc
+++ b/samphirebank/web/connection.cc
@@ -98,6 +98,14 @@
   this->WaitToRead();
 }
 
+void Connection::ReadWaiting() {
+  size_t before = 0;
+  do {
+    before = this->received.size();
+    this->OnReadable();
+  } while (!this->closed() && this->received.size() > before);
+}
+
 void Connection::Fail(End end) {
   const auto handler = std::exchange(this->end_handler, {});
   const bool tell = !this->lingering;
@@ -265,9 +273,12 @@
 }
 
 void Listener::WaitToAccept() {
+  if (std::exchange(this->waiting, true)) return;
   this->acceptor.async_wait(tcp::acceptor::wait_read,
                             [this](const error_code& error) {
-                              if (!error) this->AcceptWaiting();
+                              if (error) return;
+                              this->waiting = false;
+                              this->AcceptWaiting();
                             });
 }
 
--- a/samphirebank/web/web.h
+++ b/samphirebank/web/web.h
@@ -95,6 +95,10 @@
   // OnDrained sets what runs each time all that had to wait is out.
   void OnDrained(std::function<void()> action);
 
+  // ReadWaiting reads what has arrived, without waiting for the loop; handlers
+  // run inside the call. Must not be called by a handler.
+  void ReadWaiting();
+
   // OtherSideClosed looks ahead of what was read: whether the other side has
   // closed the connection and sent nothing before that.
   bool OtherSideClosed();
@@ -156,18 +160,21 @@
            OnConnection handler);
   // Stop accepts no more.
   void Stop();
+  // AcceptWaiting accepts the connections that wait, without waiting for the
+  // loop; the handler runs inside the call. Must not be called by the handler.
+  void AcceptWaiting();
   // stalled_since is when connections began to wait because this process has no
   // descriptor left for them; empty if none waits.
   std::optional<TimePoint> stalled_since() const { return this->stalled; }
 
  private:
   void WaitToAccept();
-  void AcceptWaiting();
   void AcceptLater();
 
   tcp::acceptor acceptor;
   asio::steady_timer retry_timer;
   OnConnection on_connection;
+  bool waiting = false;  // the loop tells when connections wait
   std::optional<TimePoint> stalled;
 };
 
