A gateway that starts hears of targets that are renewed meanwhile

Cause: targets are copied in batches, ordered by their newest change. One that was renewed behind the first batches was listed as a hash only, as if the follower had its state. A gateway that started knew one batch of each coordinator.

Change: a follower's position counts changes of state and renewals apart. States are listed in full in the order in which they changed, which a renewal does not alter, and renewals only of states that the follower has. An update is 16 bytes longer, so that it takes 7 announcements; the wire's version is 5.

The test failed before: `follow_test`, "targets that are renewed during a copy in batches all arrive", 8 of 40 targets on.

--- a/samphirebank/coordinator/internal/server.h
+++ b/samphirebank/coordinator/internal/server.h
@@ -79,7 +79,7 @@
  private:
   // FollowerRecord is an instance that polls this one.
   struct FollowerRecord {
-    directory::Cursor cursor{};
+    directory::Position position{};
     routes::TableVersion table{};
     TimePoint polled_at{};
     TimePoint table_sent_at{};
--- a/samphirebank/coordinator/peers.cc
+++ b/samphirebank/coordinator/peers.cc
@@ -119,8 +119,8 @@
   record.table = poll.table_version;
   record.is_gateway = poll.is_gateway;
   record.takes_table = poll.include_table;
-  record.cursor =
-      poll.coordinator_boot == this->boot ? poll.cursor : directory::Cursor(0);
+  record.position = poll.coordinator_boot == this->boot ? poll.position
+                                                        : directory::Position();
   this->SendUpdate(from, record);
   if (poll.is_gateway) this->SendTable(from, record, now);
 }
@@ -135,9 +135,9 @@
                         .evacuations = this->document.evacuations};
   if (record.is_gateway) {
     directory::Changes changes = directory::ChangesSince(
-        this->directory, record.cursor, follow::kMaxAnnouncements);
-    update.since = record.cursor;
-    update.cursor = changes.cursor;
+        this->directory, record.position, follow::kMaxAnnouncements);
+    update.since = record.position;
+    update.until = changes.until;
     update.has_more = changes.has_more;
     update.announcements = std::move(changes.announcements);
     update.renewed = std::move(changes.renewed);
--- a/samphirebank/directory/directory.cc
+++ b/samphirebank/directory/directory.cc
@@ -51,7 +51,9 @@
 
 void PublishChange(Directory& directory, Entry& entry, TimePoint now) {
   PublishRenewal(directory, entry, now);
+  directory.by_state_change.erase(entry.last_state_change);
   entry.last_state_change = entry.last_change;
+  directory.by_state_change[entry.last_state_change] = entry.announcement.id;
   entry.published_cold_until = now + entry.announcement.cold_remaining;
 }
 
@@ -107,6 +109,45 @@
   }
 }
 
+// AddStates adds the targets whose state changed after `since`, and takes their
+// space from `room`, which counts renewals.
+void AddStates(const Directory& directory, const Position& since, size_t* room,
+               Changes* changes) {
+  for (auto next = directory.by_state_change.upper_bound(since.states);
+       next != directory.by_state_change.end(); ++next) {
+    if (*room < kRenewalsPerAnnouncement) {
+      changes->has_more = true;
+      return;
+    }
+    *room -= kRenewalsPerAnnouncement;
+    changes->announcements.push_back(
+        directory.entries.at(next->second).announcement);
+    changes->until.states = next->first;
+  }
+  changes->until.states = directory.last_change;
+}
+
+// AddRenewals adds the renewals after `since`. A target whose state changed
+// after it is listed in full, now or in a later batch.
+void AddRenewals(const Directory& directory, const Position& since,
+                 size_t* room, Changes* changes) {
+  for (auto next = directory.by_change.upper_bound(since.renewals);
+       next != directory.by_change.end(); ++next) {
+    const Entry& entry = directory.entries.at(next->second);
+    const bool is_renewal = entry.last_state_change <= since.states;
+    if (is_renewal && *room == 0) {
+      changes->has_more = true;
+      return;
+    }
+    if (is_renewal) {
+      --*room;
+      changes->renewed.push_back(HashRun(entry.announcement));
+    }
+    changes->until.renewals = next->first;
+  }
+  changes->until.renewals = directory.last_change;
+}
+
 }  // namespace
 
 RunHash HashRun(const Announcement& announcement) {
@@ -183,6 +224,7 @@
     if (now - entry.last_seen < ttl) return false;
     if (!gone) timed_out.push_back(item.first);
     directory.by_change.erase(entry.last_change);
+    directory.by_state_change.erase(entry.last_state_change);
     RemoveAddress(directory, entry.announcement);
     RemoveRun(directory, entry.announcement);
     return true;
@@ -190,28 +232,12 @@
   return timed_out;
 }
 
-Changes ChangesSince(const Directory& directory, Cursor cursor,
+Changes ChangesSince(const Directory& directory, const Position& since,
                      size_t max_announcements) {
-  Changes changes{.cursor = directory.last_change};
+  Changes changes{.until = since};
   size_t room = max_announcements * kRenewalsPerAnnouncement;
-  for (auto next = directory.by_change.upper_bound(cursor);
-       next != directory.by_change.end(); ++next) {
-    const Entry& entry = directory.entries.at(next->second);
-    const bool is_renewal = entry.last_state_change <= cursor;
-    const size_t size = is_renewal ? 1 : kRenewalsPerAnnouncement;
-    if (size > room) {
-      changes.has_more = true;
-      break;
-    }
-    room -= size;
-    if (is_renewal) {
-      changes.renewed.push_back(HashRun(entry.announcement));
-    } else {
-      changes.announcements.push_back(entry.announcement);
-    }
-    changes.cursor = next->first;
-  }
-  if (!changes.has_more) changes.cursor = directory.last_change;
+  AddStates(directory, since, &room, &changes);
+  AddRenewals(directory, since, &room, &changes);
   return changes;
 }
 
--- a/samphirebank/directory/directory.h
+++ b/samphirebank/directory/directory.h
@@ -15,7 +15,7 @@
 // Example:
 //
 //   ApplyAnnouncement(directory, announcement, now);
-//   Changes changes = ChangesSince(directory, cursor, kMaxChanges);
+//   Changes changes = ChangesSince(directory, position, kMaxChanges);
 //   EvictExpired(directory, now);
 #ifndef SAMPHIREBANK_DIRECTORY_DIRECTORY_H_
 #define SAMPHIREBANK_DIRECTORY_DIRECTORY_H_
@@ -73,6 +73,21 @@
 // Cursor is a position in the sequence of changes of one directory.
 using Cursor = StrongNumber<struct CursorTag, uint64_t>;
 
+// Position is how far a follower has copied a directory. Renewals are counted
+// apart: a copy takes several batches, and a target that is renewed meanwhile
+// keeps its place among those whose state is still to be sent.
+struct Position {
+  Cursor states{};    // the changes of state up to it were received
+  Cursor renewals{};  // likewise the renewals
+
+  friend bool operator==(const Position&, const Position&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: the name cereal calls
+    archive(states, renewals);
+  }
+};
+
 // RunHash identifies a run of a target in an update that only renews it.
 using RunHash = uint32_t;
 // HashRun returns the hash of an announcement's run, the same on every
@@ -111,6 +126,7 @@
   // Indexes of `entries`, which only the functions below change. A coordinator
   // searches them for each heartbeat and for each update that it sends.
   std::map<Cursor, TargetId> by_change{};
+  std::map<Cursor, TargetId> by_state_change{};
   std::map<net::SocketAddress, std::set<TargetId>> by_address{};
   std::unordered_map<RunHash, TargetId> by_run{};
 };
@@ -145,15 +161,16 @@
 
 // Changes is one batch of changes, ordered by their position.
 struct Changes {
-  Cursor cursor{};        // pass it to the next call of ChangesSince
-  bool has_more = false;  // further changes follow after `cursor`
+  Position until{};       // of the follower that has received them
+  bool has_more = false;  // further changes follow after `until`
   std::vector<Announcement> announcements{};
   std::vector<RunHash> renewed{};  // runs that are alive and did not change
 };
 
-// ChangesSince returns the changes after `cursor` that take the space of
-// `max_announcements` at most.
-Changes ChangesSince(const Directory& directory, Cursor cursor,
+// ChangesSince returns the changes after `since` that take the space of
+// `max_announcements` at most: first the targets whose state changed, in full,
+// then the renewals of those whose state the follower knows.
+Changes ChangesSince(const Directory& directory, const Position& since,
                      size_t max_announcements);
 
 // ReadyTargets returns the targets of a service that accept new work, ordered
--- a/samphirebank/directory/directory_benchmark.cc
+++ b/samphirebank/directory/directory_benchmark.cc
@@ -46,7 +46,8 @@
   const Directory directory = MakeDirectory(state.range(0));
   const Cursor cursor(directory.last_change.value - 4);
   for (auto _ : state) {
-    benchmark::DoNotOptimize(ChangesSince(directory, cursor, 8));
+    benchmark::DoNotOptimize(
+        ChangesSince(directory, {.states = cursor, .renewals = cursor}, 8));
   }
 }
 BENCHMARK(BenchmarkChangesSince)->Arg(760)->Arg(3000);
--- a/samphirebank/directory/directory_test.cc
+++ b/samphirebank/directory/directory_test.cc
@@ -24,6 +24,9 @@
           .sequence = sequence};
 }
 
+// At returns the position of a follower that has all changes up to `cursor`.
+Position At(Cursor cursor) { return {.states = cursor, .renewals = cursor}; }
+
 size_t ReadyCount(const Directory& directory) {
   return ReadyTargets(directory, ServiceId("a")).size();
 }
@@ -99,13 +102,13 @@
     announcement.address.port = static_cast<uint16_t>(80 + i);
     ApplyAnnouncement(directory, announcement, kStart);
   }
-  const Changes first = ChangesSince(directory, Cursor(0), 3);
+  const Changes first = ChangesSince(directory, {}, 3);
   CHECK(first.announcements.size() == 3);
   CHECK(first.has_more);
-  const Changes rest = ChangesSince(directory, first.cursor, 3);
+  const Changes rest = ChangesSince(directory, first.until, 3);
   CHECK(rest.announcements.size() == 2);
   CHECK_FALSE(rest.has_more);
-  CHECK(ChangesSince(directory, rest.cursor, 3).announcements.empty());
+  CHECK(ChangesSince(directory, rest.until, 3).announcements.empty());
 }
 
 TEST_CASE("an unchanged target is published again after the refresh interval") {
@@ -189,16 +192,17 @@
     }
   };
   announce_all(1, kStart);
-  Cursor cursor = directory.last_change;
+  Position position = At(directory.last_change);
   announce_all(2, kStart + directory.options.refresh_interval);
   size_t num_updates = 0;
   size_t num_renewed = 0;
   bool has_more = true;
   while (has_more) {
-    const Changes changes = ChangesSince(directory, cursor, kMaxAnnouncements);
+    const Changes changes =
+        ChangesSince(directory, position, kMaxAnnouncements);
     CHECK(changes.announcements.empty());
     num_renewed += changes.renewed.size();
-    cursor = changes.cursor;
+    position = changes.until;
     has_more = changes.has_more;
     ++num_updates;
   }
@@ -211,7 +215,7 @@
   ApplyAnnouncement(directory, MakeAnnouncement("t", 5, 1), kStart);
   const TimePoint later = kStart + directory.options.refresh_interval;
   ApplyAnnouncement(directory, MakeAnnouncement("t", 5, 2), later);
-  const Changes changes = ChangesSince(directory, Cursor(0), 8);
+  const Changes changes = ChangesSince(directory, {}, 8);
   CHECK(changes.announcements.size() == 1);
   CHECK(changes.renewed.empty());
 }
@@ -228,28 +232,34 @@
 }
 
 // NaiveChangesSince is ChangesSince by a search of all entries.
-Changes NaiveChangesSince(const Directory& directory, Cursor cursor,
+Changes NaiveChangesSince(const Directory& directory, const Position& since,
                           size_t max_announcements) {
   std::vector<const Entry*> changed;
+  std::vector<const Entry*> renewed;
   for (const auto& [id, entry] : directory.entries) {
-    if (entry.last_change > cursor) changed.push_back(&entry);
+    const bool has_changed = entry.last_state_change > since.states;
+    if (has_changed) changed.push_back(&entry);
+    if (!has_changed && entry.last_change > since.renewals) {
+      renewed.push_back(&entry);
+    }
   }
-  std::ranges::sort(changed, {}, &Entry::last_change);
-  Changes changes;
+  std::ranges::sort(changed, {}, &Entry::last_state_change);
+  std::ranges::sort(renewed, {}, &Entry::last_change);
+  Changes changes{.has_more = changed.size() > max_announcements};
+  changed.resize(std::min(changed.size(), max_announcements));
   for (const Entry* entry : changed) {
-    const bool is_renewal = entry->last_state_change <= cursor;
-    const size_t taken =
-        changes.announcements.size() * kRenewalsPerAnnouncement +
-        changes.renewed.size();
-    const size_t size = is_renewal ? 1 : kRenewalsPerAnnouncement;
-    if (taken + size > max_announcements * kRenewalsPerAnnouncement) break;
-    if (is_renewal) changes.renewed.push_back(HashRun(entry->announcement));
-    if (!is_renewal) changes.announcements.push_back(entry->announcement);
+    changes.announcements.push_back(entry->announcement);
+  }
+  const size_t room =
+      (max_announcements - changed.size()) * kRenewalsPerAnnouncement;
+  if (renewed.size() > room) changes.has_more = true;
+  renewed.resize(std::min(renewed.size(), room));
+  for (const Entry* entry : renewed) {
+    changes.renewed.push_back(HashRun(entry->announcement));
   }
   return changes;
 }
 
-// Guards against an index that misses a change, or an owner of an address.
 TEST_CASE("the indexes agree with a search of all entries") {
   CHECK(rc::check([] {
     Directory directory;
@@ -263,10 +273,14 @@
       next.address.port = static_cast<uint16_t>(*rc::gen::inRange(80, 84));
       ApplyAnnouncement(directory, next, now);
       EvictExpired(directory, now);
-      const Cursor cursor(
-          *rc::gen::inRange<uint64_t>(0, directory.last_change.value + 1));
-      const Changes changes = ChangesSince(directory, cursor, 3);
-      const Changes expected = NaiveChangesSince(directory, cursor, 3);
+      const auto any_cursor = [&] {
+        return Cursor(
+            *rc::gen::inRange<uint64_t>(0, directory.last_change.value + 1));
+      };
+      const Position since{.states = any_cursor(), .renewals = any_cursor()};
+      const Changes changes = ChangesSince(directory, since, 3);
+      const Changes expected = NaiveChangesSince(directory, since, 3);
+      RC_ASSERT(changes.has_more == expected.has_more);
       RC_ASSERT(changes.announcements == expected.announcements);
       RC_ASSERT(changes.renewed == expected.renewed);
       size_t num_owners = 0;
@@ -275,6 +289,7 @@
       }
       RC_ASSERT(num_owners == directory.entries.size());
       RC_ASSERT(directory.by_change.size() == directory.entries.size());
+      RC_ASSERT(directory.by_state_change.size() == directory.entries.size());
     }
   }));
 }
--- a/samphirebank/follow/follow.cc
+++ b/samphirebank/follow/follow.cc
@@ -96,6 +96,17 @@
   }
 }
 
+// Advance records that the changes of an update were received. An update that
+// was sent for another poll may leave out changes.
+void Advance(directory::Position& position, const Update& update) {
+  if (update.since.states <= position.states) {
+    position.states = std::max(position.states, update.until.states);
+  }
+  if (update.since.renewals <= position.renewals) {
+    position.renewals = std::max(position.renewals, update.until.renewals);
+  }
+}
+
 void EvictUnresponsive(Follower& follower, TimePoint now) {
   std::erase_if(follower.sources, [&](const auto& item) {
     const Source& source = item.second;
@@ -119,7 +130,7 @@
       now - *source.resynced_at >= follower.options.resync_interval;
   if (knows_all || !may_resync) return;
   source.resynced_at = now;
-  source.cursor = directory::Cursor(0);
+  source.position = {};
   source.next_poll = now;
 }
 
@@ -154,7 +165,7 @@
   const auto found = follower.sources.find(to);
   if (found == follower.sources.end()) return poll;
   poll.coordinator_boot = found->second.boot;
-  poll.cursor = found->second.cursor;
+  poll.position = found->second.position;
   return poll;
 }
 
@@ -166,7 +177,7 @@
   const bool same_run = source.boot == update.coordinator_boot;
   if (!same_run) {
     source.boot = update.coordinator_boot;
-    source.cursor = directory::Cursor(0);
+    source.position = {};
   }
   source.last_seen = now;
   source.zone = update.zone;
@@ -176,10 +187,7 @@
   source.table_version =
       same_run ? std::max(source.table_version, update.table_version)
                : update.table_version;
-  // An update that was sent for another poll may leave out changes.
-  if (update.since <= source.cursor) {
-    source.cursor = std::max(source.cursor, update.cursor);
-  }
+  Advance(source.position, update);
   AddMembers(follower, update.members, now);
   follower.num_gateways = std::max<uint32_t>(update.num_gateways, 1);
   RecordAnnouncedTable(follower, update.table_version, now);
--- a/samphirebank/follow/follow.h
+++ b/samphirebank/follow/follow.h
@@ -36,19 +36,20 @@
 
 namespace samphirebank::follow {
 
-// Poll requests the changes since `cursor` from a coordinator.
+// Poll requests the changes since `position` from a coordinator.
 struct Poll {
   static constexpr wire::Kind kKind = static_cast<wire::Kind>(14);
 
   BootId coordinator_boot{};             // of the coordinator's newest update
-  directory::Cursor cursor{};            // in the directory of that boot
+  directory::Position position{};        // in the directory of that boot
   routes::TableVersion table_version{};  // of the sender
   bool is_gateway = true;
   bool include_table = true;  // the coordinator should send a newer table
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(coordinator_boot, cursor, table_version, is_gateway, include_table);
+    archive(coordinator_boot, position, table_version, is_gateway,
+            include_table);
   }
 };
 
@@ -57,9 +58,9 @@
   static constexpr wire::Kind kKind = static_cast<wire::Kind>(15);
 
   BootId coordinator_boot{};
-  directory::Cursor since{};   // the changes after this position are listed
-  directory::Cursor cursor{};  // where the next poll continues
-  bool has_more = false;       // further changes follow after `cursor`
+  directory::Position since{};  // the changes after this position are listed
+  directory::Position until{};  // where the next poll continues
+  bool has_more = false;        // further changes follow after `until`
   std::vector<directory::Announcement> announcements{};
   std::vector<directory::RunHash> renewed{};
   routes::TableVersion table_version{};  // in force at the coordinator
@@ -71,7 +72,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
-    archive(coordinator_boot, since, cursor, has_more, announcements, renewed,
+    archive(coordinator_boot, since, until, has_more, announcements, renewed,
             table_version, zone, region, members, num_gateways, evacuations);
   }
 };
@@ -91,7 +92,7 @@
 // kMaxAnnouncements is the number of announcements that fit into one update,
 // which has to fit into one datagram. A larger update takes a connection, of
 // which few are open at once, and delays the route tables behind it.
-inline constexpr size_t kMaxAnnouncements = 8;
+inline constexpr size_t kMaxAnnouncements = 7;
 
 // Options sets which coordinators a follower polls first, how often it polls
 // them, and when it evicts one.
@@ -122,7 +123,7 @@
 // Source is a follower's record of one coordinator.
 struct Source {
   BootId boot{};
-  directory::Cursor cursor{};            // in the directory of `boot`
+  directory::Position position{};        // in the directory of `boot`
   std::optional<TimePoint> last_seen{};  // when its newest update was received
   TimePoint added_at{};
   TimePoint next_poll{};
--- a/samphirebank/follow/follow_test.cc
+++ b/samphirebank/follow/follow_test.cc
@@ -24,6 +24,11 @@
 
 Follower OneSeed() { return Start({.seeds = {kSeed}}, kStart); }
 
+// At returns the position of a follower that has all changes up to `cursor`.
+directory::Position At(uint64_t cursor) {
+  return {.states = Cursor(cursor), .renewals = Cursor(cursor)};
+}
+
 Announcement MakeReady(const std::string& id) {
   return {.id = TargetId(id),
           .service = ServiceId("a"),
@@ -66,14 +71,14 @@
 TEST_CASE("the next poll continues at the cursor of the last update") {
   Follower follower = OneSeed();
   Directory directory;
-  Merge(follower, kSeed, {.coordinator_boot = BootId(1), .cursor = Cursor(9)},
+  Merge(follower, kSeed, {.coordinator_boot = BootId(1), .until = At(9)},
         directory, kStart);
-  Merge(follower, kSeed, {.coordinator_boot = BootId(1), .cursor = Cursor(4)},
+  Merge(follower, kSeed, {.coordinator_boot = BootId(1), .until = At(4)},
         directory, kStart);
-  CHECK(BuildPoll(follower, kSeed, kStart).cursor == Cursor(9));
-  Merge(follower, kSeed, {.coordinator_boot = BootId(2), .cursor = Cursor(3)},
+  CHECK(BuildPoll(follower, kSeed, kStart).position == At(9));
+  Merge(follower, kSeed, {.coordinator_boot = BootId(2), .until = At(3)},
         directory, kStart);
-  CHECK(BuildPoll(follower, kSeed, kStart).cursor == Cursor(3));
+  CHECK(BuildPoll(follower, kSeed, kStart).position == At(3));
   CHECK(BuildPoll(follower, kSeed, kStart).coordinator_boot == BootId(2));
 }
 
@@ -259,30 +264,30 @@
   Directory directory;
   const directory::RunHash run = directory::HashRun(MakeReady("t"));
   const Update renewal{.coordinator_boot = BootId(1),
-                       .since = Cursor(0),
-                       .cursor = Cursor(9),
+                       .since = At(0),
+                       .until = At(9),
                        .renewed = {run}};
   Merge(follower, kSeed, renewal, directory, kStart);
-  CHECK(BuildPoll(follower, kSeed, kStart).cursor == Cursor(0));
+  CHECK(BuildPoll(follower, kSeed, kStart).position == At(0));
   CHECK(TakeDuePolls(follower, kStart).size() == 1);
   // An update that was on its way does not take the place of the full one.
   Update on_its_way = renewal;
-  on_its_way.since = Cursor(9);
-  on_its_way.cursor = Cursor(10);
+  on_its_way.since = At(9);
+  on_its_way.until = At(10);
   Merge(follower, kSeed, on_its_way, directory, kStart);
-  CHECK(BuildPoll(follower, kSeed, kStart).cursor == Cursor(0));
+  CHECK(BuildPoll(follower, kSeed, kStart).position == At(0));
   Merge(follower, kSeed,
         {.coordinator_boot = BootId(1),
-         .cursor = Cursor(10),
+         .until = At(10),
          .announcements = {MakeReady("t")}},
         directory, kStart);
-  CHECK(BuildPoll(follower, kSeed, kStart).cursor == Cursor(10));
+  CHECK(BuildPoll(follower, kSeed, kStart).position == At(10));
   // It is known now: it is renewed, and nothing is asked for again.
   const TimePoint later = kStart + follower.options.resync_interval;
-  on_its_way.since = Cursor(10);
-  on_its_way.cursor = Cursor(11);
+  on_its_way.since = At(10);
+  on_its_way.until = At(11);
   Merge(follower, kSeed, on_its_way, directory, later);
-  CHECK(BuildPoll(follower, kSeed, later).cursor == Cursor(11));
+  CHECK(BuildPoll(follower, kSeed, later).position == At(11));
   CHECK(directory.entries.at(TargetId("t")).last_seen == later);
 }
 
@@ -290,19 +295,54 @@
   Follower follower = OneSeed();
   Directory directory;
   const Update renewal{
-      .coordinator_boot = BootId(1), .cursor = Cursor(9), .renewed = {7}};
+      .coordinator_boot = BootId(1), .until = At(9), .renewed = {7}};
   Merge(follower, kSeed, renewal, directory, kStart);
-  CHECK(BuildPoll(follower, kSeed, kStart).cursor == Cursor(0));
+  CHECK(BuildPoll(follower, kSeed, kStart).position == At(0));
   Merge(follower, kSeed, renewal, directory, kStart + seconds(1));
-  CHECK(BuildPoll(follower, kSeed, kStart).cursor == Cursor(9));
+  CHECK(BuildPoll(follower, kSeed, kStart).position == At(9));
+}
+
+// Guards against targets that stay unknown to a gateway that has just started:
+// they were renewed while it copied the others.
+TEST_CASE("targets that are renewed during a copy in batches all arrive") {
+  constexpr size_t kTargets = 5 * kMaxAnnouncements;
+  Directory coordinator;
+  const auto announce_all = [&](uint64_t sequence, TimePoint now) {
+    for (size_t i = 0; i < kTargets; ++i) {
+      directory::Announcement target = MakeReady("t" + std::to_string(i));
+      target.address.port = static_cast<uint16_t>(1000 + i);
+      target.sequence = sequence;
+      directory::ApplyAnnouncement(coordinator, target, now);
+    }
+  };
+  announce_all(1, kStart);
+  Follower follower = OneSeed();
+  Directory directory;
+  constexpr int kBatches = 8;
+  for (int i = 1; i <= kBatches; ++i) {
+    const TimePoint now = kStart + i * coordinator.options.refresh_interval;
+    announce_all(static_cast<uint64_t>(i + 1), now);
+    const Poll poll = BuildPoll(follower, kSeed, now);
+    const auto changes =
+        directory::ChangesSince(coordinator, poll.position, kMaxAnnouncements);
+    Merge(follower, kSeed,
+          {.coordinator_boot = BootId(1),
+           .since = poll.position,
+           .until = changes.until,
+           .has_more = changes.has_more,
+           .announcements = changes.announcements,
+           .renewed = changes.renewed},
+          directory, now);
+  }
+  CHECK(directory.entries.size() == kTargets);
 }
 
 // An update that does not fit into one datagram takes a connection of its own;
 // in a large fleet these delayed route tables for seconds.
 TEST_CASE("a full update fits into one datagram") {
   Update update{.coordinator_boot = BootId(~0ULL),
-                .since = Cursor(~0ULL),
-                .cursor = Cursor(~0ULL),
+                .since = At(~0ULL),
+                .until = At(~0ULL),
                 .table_version = routes::TableVersion(~0ULL),
                 .zone = ZoneId("stajerska-a"),
                 .region = RegionId("stajerska"),
--- a/samphirebank/signoff/signoff_fleet_test.cc
+++ b/samphirebank/signoff/signoff_fleet_test.cc
@@ -282,12 +282,15 @@
     }
   }
   void SendUpdate(const Coordinator& at, Gateway& to, const BootId& boot,
-                  directory::Cursor cursor) {
-    const auto changes = directory::ChangesSince(
-        at.directory, boot == at.boot ? cursor : directory::Cursor(0),
-        follow::kMaxAnnouncements);
+                  const directory::Position& position) {
+    const directory::Position since =
+        boot == at.boot ? position : directory::Position();
+    const auto changes =
+        directory::ChangesSince(at.directory, since, follow::kMaxAnnouncements);
     const follow::Update update{.coordinator_boot = at.boot,
-                                .cursor = changes.cursor,
+                                .since = since,
+                                .until = changes.until,
+                                .has_more = changes.has_more,
                                 .announcements = changes.announcements};
     this->Send([=, this, &to, from = at.id] {
       follow::Merge(to.follower, from, update, to.directory, this->now);
@@ -295,7 +298,7 @@
   }
   void Push(const Coordinator& at) {
     for (Gateway& gateway : this->gateways) {
-      this->SendUpdate(at, gateway, at.boot, directory::Cursor(0));
+      this->SendUpdate(at, gateway, at.boot, {});
     }
   }
 
@@ -329,7 +332,7 @@
       for (const Coordinator& at : this->coordinators) {
         if (at.id != to) continue;
         this->Send([=, this, &at, &gateway] {
-          this->SendUpdate(at, gateway, poll.coordinator_boot, poll.cursor);
+          this->SendUpdate(at, gateway, poll.coordinator_boot, poll.position);
         });
       }
     }
--- a/samphirebank/wire/wire.h
+++ b/samphirebank/wire/wire.h
@@ -50,7 +50,7 @@
 namespace leaf = boost::leaf;
 
 // kVersion is the protocol version; other versions are refused.
-inline constexpr uint8_t kVersion = 4;
+inline constexpr uint8_t kVersion = 5;
 
 // Kind says which message a packet holds. Values are never reused.
 enum class Kind : uint16_t {
