A stream goes on only at the software version that began it

Cause: nothing knew a target's version. Announcements dropped it, and a stream that goes on went to any target of its service.

Change: announcements carry the version. A gateway notes which software brings a stream's first event and sends the stream to targets of it only, within one answer and when its caller takes it up. Origins are reported to coordinators, which share them and answer gateways that do not know one, so that they are known after all gateways were killed (docs/design/stream-versions.md). What is not known, or has no target left, is refused, 503 and not run. A request that was chosen for one run of a target is not sent to a later run, which may be of another version.

--- a/samphirebank/coordinator/internal/server.h
+++ b/samphirebank/coordinator/internal/server.h
@@ -24,6 +24,7 @@
 #include "samphirebank/follow/follow.h"
 #include "samphirebank/link/link.h"
 #include "samphirebank/metrics/metrics.h"
+#include "samphirebank/origins/origins.h"
 #include "samphirebank/quarantine/quarantine.h"
 #include "samphirebank/replication/replication.h"
 #include "samphirebank/settings/settings.h"
@@ -53,6 +54,7 @@
   metrics::Counter& zone_orders_accepted;
   metrics::Counter& zone_orders_refused;
   metrics::Counter& warmup_tokens_granted;
+  metrics::Gauge& stream_origins;
   metrics::Histogram& commit_time;
 
   Metrics();
@@ -135,6 +137,11 @@
                     const warmup::WarmupRequest& request);
   void SendEvidence(const InstanceId& to, TimePoint now);
   void ShareEvidence(TimePoint now);
+  void TakeOriginReport(const origins::OriginReport& report);
+  void TakeOriginShare(const origins::OriginShare& share);
+  void AnswerOriginQuery(const InstanceId& from,
+                         const origins::OriginQuery& query);
+  void ShareOrigins(TimePoint now);
   void PushUpdates();
   void PushTable();
   uint32_t CountGateways(TimePoint now) const;
@@ -188,6 +195,8 @@
   fleetload::Aggregate loads;
   TimePoint load_shared_at{};  // with the other coordinators
   quarantine::Aggregate evidence;
+  origins::Registry origins;  // of the streams of all gateways
+  origins::Outbox origin_shares;
   warmup::Grantor grantor;
   signoff::Options sign_off_options;
   std::map<uint64_t, SignOff> sign_offs;  // by the number of their queries
--- a/samphirebank/coordinator/orders.cc
+++ b/samphirebank/coordinator/orders.cc
@@ -276,7 +276,8 @@
                  .target = announcement.id,
                  .service = announcement.service,
                  .address = announcement.address.ToText(),
-                 .reason = leaves ? "draining" : ""});
+                 .reason = leaves ? "draining" : "",
+                 .detail = "version " + announcement.software.value});
   }
   if (is_new || verdict == directory::Effect::kChanged) {
     this->PushUpdatesAfter(kPushDelay);
@@ -329,6 +330,9 @@
       warmup_tokens_granted(this->registry.AddCounter(
           {.name = "warmup_tokens_granted_total",
            .help = "Tokens for requests to cold targets that were granted."})),
+      stream_origins(this->registry.AddGauge(
+          {.name = "stream_origins",
+           .help = "Streams of which it is known what software began them."})),
       commit_time(this->registry.AddHistogram(
           {.name = "commit_seconds",
            .help = "Time until a route table was durable."},
@@ -344,6 +348,7 @@
   this->metrics.followers.Set(number(this->num_gateways));
   this->metrics.evacuated_zones.Set(
       number(this->document.evacuations.zones.size()));
+  this->metrics.stream_origins.Set(number(this->origins.entries.size()));
   this->metrics.disk_full.Set(this->replication->disk_is_full() ? 1 : 0);
   return Text(200, this->metrics.registry.ToText());
 }
--- a/samphirebank/coordinator/peers.cc
+++ b/samphirebank/coordinator/peers.cc
@@ -82,6 +82,24 @@
             this->AnswerWarmup(opened.from, request);
             break;
           }
+          case wire::Kind::kOriginReport: {
+            BOOST_LEAF_AUTO(report,
+                            wire::Decode<origins::OriginReport>(opened.packet));
+            this->TakeOriginReport(report);
+            break;
+          }
+          case wire::Kind::kOriginShare: {
+            BOOST_LEAF_AUTO(share,
+                            wire::Decode<origins::OriginShare>(opened.packet));
+            this->TakeOriginShare(share);
+            break;
+          }
+          case wire::Kind::kOriginQuery: {
+            BOOST_LEAF_AUTO(query,
+                            wire::Decode<origins::OriginQuery>(opened.packet));
+            this->AnswerOriginQuery(opened.from, query);
+            break;
+          }
           case wire::Kind::kRunQuery: {
             BOOST_LEAF_AUTO(query,
                             wire::Decode<signoff::RunQuery>(opened.packet));
@@ -189,6 +207,42 @@
   }
 }
 
+void Server::TakeOriginReport(const origins::OriginReport& report) {
+  const TimePoint now = Now();
+  for (const origins::Origin& origin : report.origins) {
+    const bool is_new = origins::Record(this->origins, origin, now);
+    if (is_new) origins::Add(this->origin_shares, origin);
+  }
+}
+
+void Server::TakeOriginShare(const origins::OriginShare& share) {
+  const TimePoint now = Now();
+  for (const origins::Origin& origin : share.origins) {
+    origins::Record(this->origins, origin, now);
+  }
+}
+
+void Server::AnswerOriginQuery(const InstanceId& from,
+                               const origins::OriginQuery& query) {
+  const origins::OriginReply reply{
+      .origins = origins::FindAll(this->origins, query.streams)};
+  if (reply.origins.empty()) return;
+  this->peers->Send(this->PeerAddress(from), wire::Encode(reply));
+}
+
+void Server::ShareOrigins(TimePoint now) {
+  origins::EvictExpired(this->origins, now);
+  const std::vector<InstanceId> members = this->replication->members();
+  if (members.empty()) return;
+  const origins::OriginShare share{
+      .origins = origins::TakeDue(this->origin_shares, now)};
+  if (share.origins.empty()) return;
+  for (const InstanceId& member : members) {
+    if (member == this->self) continue;
+    this->peers->Send(this->PeerAddress(member), wire::Encode(share));
+  }
+}
+
 void Server::AnswerWarmup(const InstanceId& from,
                           const warmup::WarmupRequest& request) {
   const warmup::WarmupGrant grant = warmup::BuildGrant(
--- a/samphirebank/coordinator/server.cc
+++ b/samphirebank/coordinator/server.cc
@@ -153,6 +153,7 @@
   this->num_gateways = this->CountGateways(now);
   this->ShareLoad(now);
   this->ShareEvidence(now);
+  this->ShareOrigins(now);
   warmup::EvictIdle(this->grantor, now);
   this->StepSignOffs(now);
   this->ShareEndedRuns(now);
--- a/samphirebank/dialect/dialect.h
+++ b/samphirebank/dialect/dialect.h
@@ -66,6 +66,8 @@
   std::string api_key{};               // empty: none given
   std::optional<Duration> patience{};  // how long the caller waits
   std::optional<EventId> after{};      // continue a stream after this event
+  // The request whose answer brought the stream's first event.
+  std::optional<RequestId> begun_by{};
   Prompt prompt{};
   Headers passed_on{};  // what the target gets as the caller sent it
 };
--- a/samphirebank/directory/directory.h
+++ b/samphirebank/directory/directory.h
@@ -43,12 +43,17 @@
   kGone,      // signed off, or a later run of another target has its address
 };
 
+// SoftwareVersion names the version of a target's software. Versions have no
+// order.
+using SoftwareVersion = StrongText<struct SoftwareVersionTag>;
+
 // Announcement is the state that a target reports about itself.
 struct Announcement {
   TargetId id{};
   ServiceId service{};
   net::SocketAddress address{};
   ZoneId zone{};
+  SoftwareVersion software{};
   uint32_t slots = 0;  // requests that the target runs concurrently
   State state = State::kReady;
   int64_t started_at_ms = 0;  // wall time of this run's start, ms since 1970
@@ -64,8 +69,8 @@
     constexpr int64_t kMaxColdMs = std::numeric_limits<uint32_t>::max();
     auto cold_ms = static_cast<uint32_t>(
         std::clamp<int64_t>(this->cold_remaining.count(), 0, kMaxColdMs));
-    archive(id, service, address, zone, slots, state, started_at_ms, sequence,
-            cold_ms);
+    archive(id, service, address, zone, software, slots, state, started_at_ms,
+            sequence, cold_ms);
     this->cold_remaining = std::chrono::milliseconds(cold_ms);
   }
 };
--- a/samphirebank/events/catalogue.cc
+++ b/samphirebank/events/catalogue.cc
@@ -48,9 +48,9 @@
       {Number::kRequestCut, "request-cut", kWarning, "A caller's answer ended before it was whole.", {"request", "organisation", "service", "target", "tokens", "bytes", "duration_ms", "count", "outcome", "reason"}},
       {Number::kCallerLeft, "caller-left", kInfo, "A caller went away, or was cut as too slow, before its answer ended.", {"request", "organisation", "service", "target", "duration_ms", "count", "reason"}},
 
-      {Number::kTargetAnnounced, "target-announced", kInfo, "A target is new, or came back.", {"target", "address", "region", "service", "count", "peer"}},
+      {Number::kTargetAnnounced, "target-announced", kInfo, "A target is new, or came back.", {"target", "address", "region", "service", "count", "peer", "detail"}},
       {Number::kTargetLost, "target-lost", kWarning, "A target stopped renewing its announcement.", {"target", "duration_ms"}},
-      {Number::kTargetLeaving, "target-leaving", kInfo, "A target gets no new work.", {"target", "service", "address", "reason", "revision", "peer"}},
+      {Number::kTargetLeaving, "target-leaving", kInfo, "A target gets no new work.", {"target", "service", "address", "reason", "revision", "peer", "detail"}},
       {Number::kTargetRefused, "target-refused", kWarning, "An announcement or a report of a target was refused.", {"target", "address", "reason", "detail"}},
       {Number::kTargetStopped, "target-stopped", kInfo, "A target gets no new work, and what ran there was cancelled.", {"target", "count", "revision"}},
       {Number::kTargetPassedOver, "target-passed-over", kWarning, "A target failed and gets no requests of this instance for a while.", {"target", "service", "address", "reason", "count", "duration_ms"}},
--- a/samphirebank/follow/follow.cc
+++ b/samphirebank/follow/follow.cc
@@ -244,6 +244,14 @@
   return nearest;
 }
 
+std::vector<InstanceId> Responsive(const Follower& follower, TimePoint now) {
+  std::vector<InstanceId> responsive;
+  for (const auto& [id, source] : follower.sources) {
+    if (IsResponsive(source, follower.options, now)) responsive.push_back(id);
+  }
+  return responsive;
+}
+
 Duration TimeSinceLastUpdate(const Follower& follower, TimePoint now) {
   Duration shortest = Duration::max();
   for (const auto& [id, source] : follower.sources) {
--- a/samphirebank/follow/follow.h
+++ b/samphirebank/follow/follow.h
@@ -189,6 +189,10 @@
 std::optional<InstanceId> NearestResponsive(const Follower& follower,
                                             TimePoint now);
 
+// Responsive returns all coordinators with an update within
+// options.response_timeout.
+std::vector<InstanceId> Responsive(const Follower& follower, TimePoint now);
+
 // TimeSinceLastUpdate returns the time since the newest update of any
 // coordinator. A coordinator without an update counts from when it was added.
 Duration TimeSinceLastUpdate(const Follower& follower, TimePoint now);
--- a/samphirebank/follow/follow_test.cc
+++ b/samphirebank/follow/follow_test.cc
@@ -357,6 +357,7 @@
          .service = ServiceId("huvo11a"),
          .address = {.ip = "10.128.100.100", .port = 65'000},
          .zone = ZoneId("stajerska-a"),
+         .software = directory::SoftwareVersion("v1.2.30"),
          .slots = 64,
          .started_at_ms = 1'700'000'000'000,
          .sequence = ~0ULL,
--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -15,6 +15,7 @@
 #include "samphirebank/dispatch/dispatch.h"
 #include "samphirebank/events/events.h"
 #include "samphirebank/forwarding/forwarding.h"
+#include "samphirebank/origins/origins.h"
 #include "samphirebank/quarantine/quarantine.h"
 #include "samphirebank/residency/residency.h"
 #include "samphirebank/routes/routes.h"
@@ -26,6 +27,7 @@
 class Server;
 class Session;
 struct ChosenTarget;
+struct TargetFilter;
 
 // Exchange belongs to the loop's thread. Its session outlives it, except after
 // CallerLeft.
@@ -41,6 +43,9 @@
   // OnQuarantine ends the work at the target if the prompt has a part that was
   // quarantined meanwhile and the answer has not begun.
   void OnQuarantine();
+  // OnOrigin goes on with a stream that its caller takes up, now that it is
+  // known what began it; empty: it is not.
+  void OnOrigin(std::optional<origins::Software> software);
   // OnShutdown gives the caller the final answer, because the process ends.
   void OnShutdown();
 
@@ -65,6 +70,7 @@
     Duration reading{};                    // of the prompt, as it was estimated
     dispatch::Prediction prediction{};
     int64_t run_started_at_ms = 0;  // of the target
+    origins::Software software{};   // of the target
     TimePoint sent_at{};
   };
 
@@ -80,8 +86,18 @@
   void EndUnanswered(const std::string& reason,
                      dispatch::HealthResult target_result);
 
+  // Streams that go on.
+  bool TakesUpStream() const;
+  void LookUpOrigin();
+  // FindServiceOf returns the service of the route with targets of `software`;
+  // empty if there is none.
+  std::optional<ServiceId> FindServiceOf(origins::Software wanted) const;
+  void NoteOrigin();
+
   // Sending.
   void SendToTarget();
+  // Filter returns which targets may get the request now.
+  TargetFilter Filter() const;
   // AllowedRegions returns the regions that the table at the request's arrival
   // and the newest table both allow.
   residency::AllowedRegions AllowedRegions() const;
@@ -89,8 +105,7 @@
   bool DecodeCall();
   // ReleaseBody gives up the request's body if it is not sent again.
   void ReleaseBody();
-  void EndWithoutTarget(const residency::AllowedRegions& allowed,
-                        TimePoint now);
+  void EndWithoutTarget(const TargetFilter& filter, TimePoint now);
   bool AdmitPrompt(const ChosenTarget& chosen);
   Tokens TokensOf() const;
   void OnConnection(std::shared_ptr<web::Connection> connection,
@@ -144,6 +159,7 @@
   std::vector<quarantine::PartId> prompt_parts;  // in order, its own last
   forwarding::Progress progress;
   forwarding::EventStream stream;
+  std::optional<origins::Software> begun_by;  // what began the stream
   std::optional<Sending> sending;
   TargetId last_target;
   boost::asio::steady_timer limit_timer;
--- a/samphirebank/gateway/internal/metrics.h
+++ b/samphirebank/gateway/internal/metrics.h
@@ -43,6 +43,8 @@
   metrics::Counter& refused_for_memory;
   metrics::Counter& refused_for_warmup;
   metrics::Counter& refused_for_rate_limit;
+  metrics::Counter& streams_taken_up;
+  metrics::Counter& refused_for_origin;
   metrics::Counter& refused_ahead;
   metrics::Counter& admitted_behind;
   metrics::Counter& warmup_tokens_received;
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -29,6 +29,7 @@
 #include "samphirebank/gateway/internal/target_pool.h"
 #include "samphirebank/link/link.h"
 #include "samphirebank/memory/memory.h"
+#include "samphirebank/origins/origins.h"
 #include "samphirebank/process/process.h"
 #include "samphirebank/quarantine/quarantine.h"
 #include "samphirebank/ratelimit/ratelimit.h"
@@ -42,8 +43,16 @@
 
 namespace samphirebank::gateway {
 
+class Exchange;
 class Session;
 
+// TargetFilter says which targets of a service may get a request.
+struct TargetFilter {
+  residency::AllowedRegions regions{};
+  // Set where a stream goes on: what began it.
+  std::optional<origins::Software> software{};
+};
+
 // ChosenTarget is where a request goes.
 struct ChosenTarget {
   TargetId id{};
@@ -55,6 +64,7 @@
   Duration reading{};    // of its prompt, by the model of dispatch
   dispatch::Prediction prediction{};
   int64_t run_started_at_ms = 0;
+  origins::Software software{};
   bool in_other_region = false;  // than this instance
 };
 
@@ -129,34 +139,32 @@
 
   // ReadyCount is how many targets of a service take new work.
   size_t ReadyCount(const ServiceId& service) const;
-  // The functions below consider the targets of a service in the regions
-  // `allowed`.
+  // The functions below consider the targets of a service that `filter` allows.
   //
   // HasOtherTarget says whether there is one that was not tried.
-  bool HasOtherTarget(const ServiceId& service,
-                      const residency::AllowedRegions& allowed,
+  bool HasOtherTarget(const ServiceId& service, const TargetFilter& filter,
                       const std::set<TargetId>& tried, TimePoint now) const;
   // PauseLeft is how long all of them want no request; empty if one takes work.
   std::optional<Duration> PauseLeft(const ServiceId& service,
-                                    const residency::AllowedRegions& allowed,
+                                    const TargetFilter& filter,
                                     TimePoint now) const;
-  std::optional<ChosenTarget> ChooseTarget(
-      const ServiceId& service, const residency::AllowedRegions& allowed,
-      const dispatch::RequestProfile& work, TimePoint now);
-  // MaySend says whether a request may still be sent to a target that was
-  // chosen for it.
-  bool MaySend(const TargetId& target, const residency::AllowedRegions& allowed,
-               TimePoint now) const;
+  std::optional<ChosenTarget> ChooseTarget(const ServiceId& service,
+                                           const TargetFilter& filter,
+                                           const dispatch::RequestProfile& work,
+                                           TimePoint now);
+  // MaySend says whether a request may still be sent to a run of a target that
+  // was chosen for it.
+  bool MaySend(const TargetId& target, int64_t run_started_at_ms,
+               const TargetFilter& filter, TimePoint now) const;
   // The limits of cold targets and of those that state one; see warmup and
   // ratelimit.
   //
   // HasColdTarget says whether a ready target needs a token since it is cold.
-  bool HasColdTarget(const ServiceId& service,
-                     const residency::AllowedRegions& allowed,
+  bool HasColdTarget(const ServiceId& service, const TargetFilter& filter,
                      TimePoint now) const;
   // HasRateLimitedTarget says whether one does since it states a rate limit.
   bool HasRateLimitedTarget(const ServiceId& service,
-                            const residency::AllowedRegions& allowed) const;
+                            const TargetFilter& filter) const;
   // NoteStatedLimit records the rate limit that an answer of a target's run
   // names; empty if it names none.
   void NoteStatedLimit(const TargetId& target, int64_t run_started_at_ms,
@@ -177,6 +185,14 @@
   const admission::Options& admission_options() const {
     return this->admission;
   }
+  // Which software began the streams that callers take up; see origins.
+  //
+  // NoteOrigin records what began a stream whose first event goes out now.
+  void NoteOrigin(const origins::Origin& origin);
+  // LookUpOrigin calls OnOrigin of `exchange`: at once if the stream began
+  // here, else when a coordinator has told its origin or none has in time.
+  void LookUpOrigin(const std::shared_ptr<Exchange>& exchange,
+                    origins::StreamKey stream, TimePoint now);
   // What is known of prompt parts that crash targets; see quarantine.
   std::optional<Duration> QuarantineLeft(
       const std::vector<quarantine::PartId>& parts, TimePoint now) const;
@@ -211,6 +227,7 @@
   void NoteRefusedForRateLimit() {
     this->metrics.refused_for_rate_limit.Add(1);
   }
+  void NoteRefusedForOrigin() { this->metrics.refused_for_origin.Add(1); }
   void NoteAdmission(admission::Decision decision);
   void NoteTokenUsed() { this->metrics.warmup_tokens_used.Add(1); }
   void NoteChosenAgain() { this->metrics.chosen_again.Add(1); }
@@ -220,10 +237,14 @@
 
  private:
   std::vector<const directory::Announcement*> TargetsWithWork(
-      const ServiceId& service, const residency::AllowedRegions& allowed,
+      const ServiceId& service, const TargetFilter& filter,
       TimePoint now) const;
   std::vector<const directory::Announcement*> ReadyTargets(
-      const ServiceId& service, const residency::AllowedRegions& allowed) const;
+      const ServiceId& service, const TargetFilter& filter) const;
+  // AllowsAll says whether `filter` allows every target now.
+  bool AllowsAll(const TargetFilter& filter) const;
+  bool Allows(const TargetFilter& filter,
+              const directory::Announcement& target) const;
   double ColdRate(const ServiceId& service) const;
   // IsColdLimited says whether a target is cold and its service has a limit.
   bool IsColdLimited(const directory::Announcement& target,
@@ -265,6 +286,11 @@
   void ReportLoad(TimePoint now);
   void ReportEvidence(const net::SocketAddress& coordinator, TimePoint now);
   void JudgeParts(TimePoint now);
+  void ReportOrigins(TimePoint now);
+  void AskForOrigins(const std::vector<origins::StreamKey>& streams,
+                     const InstanceId& coordinator);
+  void StepLookups(TimePoint now);
+  void TakeOrigins(const origins::OriginReply& reply);
   void TakeLoadSum(const fleetload::Load& load, TimePoint now);
   bool IsTold(TimePoint now) const;
   double GatewaysAlike(TimePoint now) const;
@@ -332,6 +358,16 @@
   ratelimit::StatedLimits stated_limits;
   warmup::Allowance allowance;
   TimePoint evicted_at;  // old evidence of it
+  // Lookup is a stream whose origin is being asked for.
+  struct Lookup {
+    std::vector<std::weak_ptr<Exchange>> waiting{};
+    TimePoint begun_at{};
+  };
+  origins::Registry origins;  // of the streams that began here
+  origins::Outbox origin_reports;
+  // The run of the coordinator that has all reports.
+  std::pair<InstanceId, BootId> reported_to;
+  std::map<origins::StreamKey, Lookup> lookups;
   process::BusyClock busy;
   Duration last_delay{};  // at the newest tick
   size_t exchanges = 0;   // requests that are not answered to their end
--- a/samphirebank/gateway/metrics.cc
+++ b/samphirebank/gateway/metrics.cc
@@ -66,6 +66,13 @@
           {.name = "refused_for_rate_limit_total",
            .help = "Requests refused for want of a target, while some state a "
                    "rate limit and no token for them is left."})),
+      streams_taken_up(this->registry.AddCounter(
+          {.name = "streams_taken_up_total",
+           .help = "Streams that callers took up again."})),
+      refused_for_origin(this->registry.AddCounter(
+          {.name = "refused_for_origin_total",
+           .help = "Streams that were not taken up, since the software version "
+                   "that began them is not known or has no target."})),
       refused_ahead(this->registry.AddCounter(
           {.name = "refused_ahead_total",
            .help =
--- a/samphirebank/gateway/receiving.cc
+++ b/samphirebank/gateway/receiving.cc
@@ -173,6 +173,7 @@
 void Exchange::PassEvents(std::string_view piece) {
   const std::string whole = forwarding::TakeEvents(this->stream, piece);
   if (whole.empty()) return;
+  this->NoteOrigin();
   if (!std::exchange(this->progress.response_started, true)) {
     this->first_answer_at = Now();
     this->session.BeginChunks(this->sending->status,
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -31,10 +31,10 @@
 void Exchange::SendToTarget() {
   if (this->StopIfQuarantined()) return;
   const TimePoint now = Now();
-  const residency::AllowedRegions allowed = this->AllowedRegions();
+  const TargetFilter filter = this->Filter();
   const auto chosen =
-      this->server.ChooseTarget(this->service, allowed, this->work, now);
-  if (!chosen) return this->EndWithoutTarget(allowed, now);
+      this->server.ChooseTarget(this->service, filter, this->work, now);
+  if (!chosen) return this->EndWithoutTarget(filter, now);
   if (!this->AdmitPrompt(*chosen)) return;
   this->sending = Sending{.target = chosen->id,
                           .address = chosen->address,
@@ -43,7 +43,8 @@
                           .token = this->server.TakeToken(chosen->id, now),
                           .reading = chosen->reading,
                           .prediction = chosen->prediction,
-                          .run_started_at_ms = chosen->run_started_at_ms};
+                          .run_started_at_ms = chosen->run_started_at_ms,
+                          .software = chosen->software};
   this->last_target = chosen->id;
   // Counted from the choice on: others that come before the connection does
   // are not to choose the same idle target.
@@ -64,6 +65,10 @@
       });
 }
 
+TargetFilter Exchange::Filter() const {
+  return {.regions = this->AllowedRegions(), .software = this->begun_by};
+}
+
 residency::AllowedRegions Exchange::AllowedRegions() const {
   const auto allowed_by = [](const routes::Route* applied_route,
                              const routes::Organisation* caller) {
@@ -85,23 +90,22 @@
   return residency::Intersect(at_arrival, now_allowed);
 }
 
-void Exchange::EndWithoutTarget(const residency::AllowedRegions& allowed,
-                                TimePoint now) {
+void Exchange::EndWithoutTarget(const TargetFilter& filter, TimePoint now) {
   if (this->progress.response_started) return this->Cut("no target");
   if (this->progress.may_have_run) return this->FailUnknown(502, "no target");
-  const auto pause = this->server.PauseLeft(this->service, allowed, now);
+  const auto pause = this->server.PauseLeft(this->service, filter, now);
   if (pause) {
     return this->RefuseForNow("all targets asked for a pause", pause);
   }
-  if (this->server.HasColdTarget(this->service, allowed, now)) {
+  if (this->server.HasColdTarget(this->service, filter, now)) {
     this->server.NoteRefusedForWarmup();
     return this->RefuseForNow("targets are warming up");
   }
-  if (this->server.HasRateLimitedTarget(this->service, allowed)) {
+  if (this->server.HasRateLimitedTarget(this->service, filter)) {
     this->server.NoteRefusedForRateLimit();
     return this->RefuseForNow("targets limit their rate");
   }
-  if (allowed.regions && this->server.ReadyCount(this->service) > 0) {
+  if (filter.regions.regions && this->server.ReadyCount(this->service) > 0) {
     this->server.NoteRefusedForResidency();
     return this->RefuseForNow("no target in an allowed region");
   }
@@ -139,7 +143,8 @@
   }
   if (this->StopIfQuarantined()) return;
   const bool excluded =
-      !this->server.MaySend(this->sending->target, this->AllowedRegions(),
+      !this->server.MaySend(this->sending->target,
+                            this->sending->run_started_at_ms, this->Filter(),
                             now) ||
       this->server.IsHeldBack(this->sending->target, this->sending->token, now);
   if (excluded) {
@@ -162,6 +167,9 @@
       (this->sending->at_home ? "home, " : "away, ") +
       std::string(this->sending->in_other_region ? "other region, " : "") +
       this->server.LoadText(this->sending->target, now);
+  if (this->call.begun_by) {
+    event.detail += ", takes up " + this->call.begun_by->value;
+  }
   events::Log(event);
   const dialect::SendOrder order{
       .target = this->sending->target,
@@ -199,7 +207,7 @@
                                this->server.IsSuspect(this->prompt_parts, now);
   const bool may_repeat =
       !may_end_another && this->server.MayRepeat(this->service, now) &&
-      this->server.HasOtherTarget(this->service, this->AllowedRegions(),
+      this->server.HasOtherTarget(this->service, this->Filter(),
                                   this->work.tried_targets, now);
   const NextAction next =
       forwarding::DecideNextAction(this->progress, end, may_repeat);
@@ -218,7 +226,7 @@
     case NextAction::kRefuse:
       return this->RefuseForNow(
           end == SendResult::kConnectFailed ? "unreachable" : "target full",
-          this->server.PauseLeft(this->service, this->AllowedRegions(), now));
+          this->server.PauseLeft(this->service, this->Filter(), now));
     case NextAction::kReportUnknown:
       return this->FailUnknown(502, "the target broke off");
     default:
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -177,6 +177,8 @@
   this->SendPolls(now);
   this->JudgeParts(now);
   this->ReportLoad(now);
+  this->ReportOrigins(now);
+  this->StepLookups(now);
   this->ForgetTargets(now);
   this->PruneRestricted(now);
   this->CloseSurplus();
@@ -247,6 +249,10 @@
           BOOST_LEAF_AUTO(grant,
                           wire::Decode<warmup::WarmupGrant>(opened.packet));
           this->TakeGrant(grant);
+        } else if (opened.packet.kind == wire::Kind::kOriginReply) {
+          BOOST_LEAF_AUTO(reply,
+                          wire::Decode<origins::OriginReply>(opened.packet));
+          this->TakeOrigins(reply);
         } else if (opened.packet.kind == wire::Kind::kRunQuery) {
           BOOST_LEAF_AUTO(query,
                           wire::Decode<signoff::RunQuery>(opened.packet));
@@ -277,7 +283,8 @@
                  .target = target,
                  .service = known.service,
                  .peer = from,
-                 .address = known.address.ToText()});
+                 .address = known.address.ToText(),
+                 .detail = "version " + known.software.value});
     // A new run has none of the old run's failures.
     dispatch::RecordRun(this->targets_book, target, known.started_at_ms);
     ratelimit::RecordRun(this->stated_limits, target, known.started_at_ms);
--- a/samphirebank/gateway/targets.cc
+++ b/samphirebank/gateway/targets.cc
@@ -36,13 +36,11 @@
 }
 
 std::vector<const directory::Announcement*> Server::ReadyTargets(
-    const ServiceId& service, const residency::AllowedRegions& allowed) const {
+    const ServiceId& service, const TargetFilter& filter) const {
   auto ready = directory::ReadyTargets(this->directory, service);
-  const bool all_zones =
-      !allowed.regions && this->follower.evacuations.zones.empty();
-  if (all_zones) return ready;
+  if (this->AllowsAll(filter)) return ready;
   std::erase_if(ready, [&](const auto* target) {
-    return !this->MayUseZone(target->zone, allowed);
+    return !this->Allows(filter, *target);
   });
   return ready;
 }
@@ -50,9 +48,8 @@
 // TargetsWithWork returns the targets of a service to which requests may be
 // sent.
 std::vector<const directory::Announcement*> Server::TargetsWithWork(
-    const ServiceId& service, const residency::AllowedRegions& allowed,
-    TimePoint now) const {
-  auto ready = this->ReadyTargets(service, allowed);
+    const ServiceId& service, const TargetFilter& filter, TimePoint now) const {
+  auto ready = this->ReadyTargets(service, filter);
   this->RemoveHeldBack(&ready, now);
   if (this->targets_book.restricted.empty()) return ready;
   std::erase_if(ready, [&](const auto* target) {
@@ -71,12 +68,12 @@
   });
 }
 
-std::optional<Duration> Server::PauseLeft(
-    const ServiceId& service, const residency::AllowedRegions& allowed,
-    TimePoint now) const {
+std::optional<Duration> Server::PauseLeft(const ServiceId& service,
+                                          const TargetFilter& filter,
+                                          TimePoint now) const {
   std::optional<Duration> least;
   if (this->targets_book.restricted.empty()) return least;
-  for (const auto* target : this->ReadyTargets(service, allowed)) {
+  for (const auto* target : this->ReadyTargets(service, filter)) {
     const auto found = this->targets_book.targets.find(target->id);
     if (found == this->targets_book.targets.end()) return std::nullopt;
     if (found->second.leaving) continue;
@@ -88,24 +85,35 @@
 }
 
 bool Server::HasOtherTarget(const ServiceId& service,
-                            const residency::AllowedRegions& allowed,
+                            const TargetFilter& filter,
                             const std::set<TargetId>& tried,
                             TimePoint now) const {
-  const auto ready = this->TargetsWithWork(service, allowed, now);
+  const auto ready = this->TargetsWithWork(service, filter, now);
   return std::ranges::any_of(
       ready, [&](const auto* target) { return !tried.contains(target->id); });
 }
 
-bool Server::MaySend(const TargetId& target,
-                     const residency::AllowedRegions& allowed,
-                     TimePoint now) const {
+bool Server::MaySend(const TargetId& target, int64_t run_started_at_ms,
+                     const TargetFilter& filter, TimePoint now) const {
   if (!dispatch::TakesWork(this->targets_book, target, now)) return false;
-  const bool all_zones =
-      !allowed.regions && this->follower.evacuations.zones.empty();
-  if (all_zones) return true;
   const auto found = this->directory.entries.find(target);
-  return found != this->directory.entries.end() &&
-         this->MayUseZone(found->second.announcement.zone, allowed);
+  if (found == this->directory.entries.end()) return this->AllowsAll(filter);
+  const directory::Announcement& known = found->second.announcement;
+  // A later run may have another software version.
+  return known.started_at_ms == run_started_at_ms &&
+         (this->AllowsAll(filter) || this->Allows(filter, known));
+}
+
+bool Server::AllowsAll(const TargetFilter& filter) const {
+  return !filter.software && !filter.regions.regions &&
+         this->follower.evacuations.zones.empty();
+}
+
+bool Server::Allows(const TargetFilter& filter,
+                    const directory::Announcement& target) const {
+  const bool is_of_version =
+      !filter.software || *filter.software == origins::SoftwareOf(target);
+  return is_of_version && this->MayUseZone(target.zone, filter.regions);
 }
 
 bool Server::MayUseZone(const ZoneId& zone,
@@ -115,9 +123,9 @@
 }
 
 std::optional<ChosenTarget> Server::ChooseTarget(
-    const ServiceId& service, const residency::AllowedRegions& allowed,
+    const ServiceId& service, const TargetFilter& filter,
     const dispatch::RequestProfile& work, TimePoint now) {
-  const auto ready = this->TargetsWithWork(service, allowed, now);
+  const auto ready = this->TargetsWithWork(service, filter, now);
   std::vector<dispatch::Candidate> candidates;
   candidates.reserve(ready.size());
   for (const directory::Announcement* target : ready) {
@@ -138,6 +146,7 @@
                       .reading = chosen->prefill_time,
                       .prediction = chosen->prediction,
                       .run_started_at_ms = target.started_at_ms,
+                      .software = origins::SoftwareOf(target),
                       .in_other_region = candidates[chosen->index].distance ==
                                          dispatch::Distance::kOtherRegion};
 }
--- a/samphirebank/gateway/warming.cc
+++ b/samphirebank/gateway/warming.cc
@@ -45,20 +45,19 @@
          this->IsColdLimited(target, now);
 }
 
-bool Server::HasColdTarget(const ServiceId& service,
-                           const residency::AllowedRegions& allowed,
+bool Server::HasColdTarget(const ServiceId& service, const TargetFilter& filter,
                            TimePoint now) const {
   if (this->cold_targets.entries.empty()) return false;
   return std::ranges::any_of(
-      this->ReadyTargets(service, allowed),
+      this->ReadyTargets(service, filter),
       [&](const auto* target) { return this->IsColdLimited(*target, now); });
 }
 
-bool Server::HasRateLimitedTarget(
-    const ServiceId& service, const residency::AllowedRegions& allowed) const {
+bool Server::HasRateLimitedTarget(const ServiceId& service,
+                                  const TargetFilter& filter) const {
   if (this->stated_limits.entries.empty()) return false;
   return std::ranges::any_of(
-      this->ReadyTargets(service, allowed), [&](const auto* target) {
+      this->ReadyTargets(service, filter), [&](const auto* target) {
         return this->stated_limits.entries.contains(target->id);
       });
 }
--- a/samphirebank/soak/soak.h
+++ b/samphirebank/soak/soak.h
@@ -42,6 +42,10 @@
   std::string api_key{};
   Duration patience{};
   bool streamed = false;  // carries a prompt
+  // Set if a stream is taken up: the request that began it, and the last event
+  // that its caller has.
+  std::optional<RequestId> begun_by{};
+  uint64_t after = 0;
   std::string body{};
 };
 
@@ -51,7 +55,8 @@
   OrganisationId organisation{};
   TargetId expected{};              // the one that is to run it
   std::optional<uint64_t> after{};  // continue after this event
-  bool carries_key = false;         // the caller's key was passed on
+  std::optional<RequestId> begun_by{};
+  bool carries_key = false;  // the caller's key was passed on
 };
 
 // ControlCall is a call to a coordinator.
--- a/samphirebank/wire/wire.h
+++ b/samphirebank/wire/wire.h
@@ -83,6 +83,10 @@
   kRunQuery = 30,         // coordinator to all: which run of a target is known?
   kRunReport = 31,        // the answer
   kEndedRun = 32,         // coordinator to coordinator: a run has signed off
+  kOriginReport = 33,     // gateway to coordinator: streams that have begun
+  kOriginShare = 34,      // coordinator to coordinator: what was reported to it
+  kOriginQuery = 35,      // gateway to coordinator: which software began these?
+  kOriginReply = 36,      // the answer
 };
 
 // Packet is an encoded message with its kind.
