The soak plays software versions that do not fit together

Cause: the soak's targets all wrote the same text and its callers took no stream up, so that a stream joined from two versions looked whole.

Change: a target's version changes with each start, and its text names it. Callers take up a stream that broke off, three times at most. The judge wants each stream's events to be of one version, whole or not, over all tries.

`ledger_test` shows that the judge finds streams of two versions in one answer and over a caller's tries.

--- a/samphirebank/soak/caller.cc
+++ b/samphirebank/soak/caller.cc
@@ -38,6 +38,17 @@
           .shares = {{.service = ServiceId(service), .weight = 1}}};
 }
 
+// LastEvent returns the number of the last of a stream's whole events.
+uint64_t LastEvent(std::string_view events) {
+  constexpr std::string_view kId = "id: ";
+  uint64_t last = 0;
+  for (size_t at = events.find(kId); at != std::string_view::npos;
+       at = events.find(kId, at + kId.size())) {
+    ++last;
+  }
+  return last;
+}
+
 RegionId DrawRegion(std::mt19937_64& random) {
   return FleetZones()[random() % FleetZones().size()].region;
 }
@@ -137,7 +148,30 @@
       });
 }
 
+void Caller::NoteBreak(const RequestId& id) {
+  constexpr std::string_view kEventEnd = "\n\n";
+  constexpr int kMostTakeUps = 3;
+  const SentRequest& sent = this->world.ledger.requests.at(id).sent;
+  const size_t end = this->answer.body.rfind(kEventEnd);
+  const bool has_events =
+      this->answer.status == 200 && end != std::string::npos;
+  if (sent.repetition != RetryPolicy::kResume) return;
+  if (!has_events && !sent.begun_by) return;
+  if (!sent.begun_by) this->take_ups_left = kMostTakeUps;
+  if (this->take_ups_left-- == 0) return;
+  this->broken_stream = sent;
+  this->broken_stream->begun_by = sent.begun_by.value_or(id);
+  if (!has_events) return;
+  this->broken_stream->received +=
+      this->answer.body.substr(0, end + kEventEnd.size());
+}
+
 SentRequest Caller::MakeRequest() {
+  if (this->broken_stream) {
+    SentRequest again = *std::exchange(this->broken_stream, std::nullopt);
+    again.gateway = this->gateway;
+    return again;
+  }
   const uint64_t seed = this->world.options.seed;
   const std::vector<routes::Route> all = CallerRoutes(seed);
   const std::vector<routes::Organisation> organisations =
@@ -180,6 +214,8 @@
        .api_key = "k" + std::to_string(this->index % 2),
        .patience = kPatience,
        .streamed = request.streamed,
+       .begun_by = request.begun_by,
+       .after = LastEvent(request.received),
        .body = request.body}));
   NoteSent(this->world.ledger, id, request, Now());
 }
@@ -224,6 +260,8 @@
   this->limit.cancel();
   this->answer.end = end;
   NoteAnswer(this->world.ledger, *this->waiting_for, this->answer, Now());
+  const bool is_whole = end == CallerEnd::kAnswered && this->answer.sealed;
+  if (!is_whole) this->NoteBreak(*this->waiting_for);
   this->waiting_for.reset();
   if (end != CallerEnd::kAnswered) this->Drop();
   this->Next();
--- a/samphirebank/soak/internal/caller.h
+++ b/samphirebank/soak/internal/caller.h
@@ -49,6 +49,8 @@
   void Finish(CallerEnd end);
   void Drop();
   SentRequest MakeRequest();
+  // NoteBreak notes that the stream of a request broke off, to take it up.
+  void NoteBreak(const RequestId& id);
 
   World& world;
   Fleet& fleet;
@@ -59,6 +61,9 @@
   std::shared_ptr<web::Connection> connection;
   std::unique_ptr<web::AnswerReader> reader;
   std::optional<RequestId> waiting_for;
+  // The stream to be taken up with the next request.
+  std::optional<SentRequest> broken_stream;
+  int take_ups_left = 0;
   CallerAnswer answer;
   bool head_taken = false;
   bool told_close = false;
--- a/samphirebank/soak/internal/ledger.h
+++ b/samphirebank/soak/internal/ledger.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "samphirebank/base/base.h"
+#include "samphirebank/directory/directory.h"
 #include "samphirebank/routes/routes.h"
 
 namespace samphirebank::soak {
@@ -38,6 +39,10 @@
   std::vector<RegionId> organisation_regions{};
   routes::RetryPolicy repetition = routes::RetryPolicy::kNever;
   bool streamed = false;
+  // Of a stream that is taken up: the request that began it, and its events so
+  // far.
+  std::optional<RequestId> begun_by{};
+  std::string received{};
 };
 
 // TargetRun is one run of a request at a target.
@@ -165,10 +170,14 @@
 void NoteAnswer(Ledger& ledger, const RequestId& id, CallerAnswer answer,
                 TimePoint now);
 
-// EventsOf returns how many events the stream of a request has, and EventText
-// one of them; PlainBody is the body of an answer that is not streamed.
+// EventsOf returns how many events the stream has that a request began, and
+// EventText one of them, as a software version writes it; PlainBody is the body
+// of an answer that is not streamed.
 uint64_t EventsOf(const RequestId& id);
-std::string EventText(const RequestId& id, uint64_t number);
+std::string EventText(const RequestId& id, uint64_t number,
+                      const directory::SoftwareVersion& software);
+// SoftwareVersions returns the versions of all targets.
+const std::vector<directory::SoftwareVersion>& SoftwareVersions();
 std::string PlainBody(const RequestId& id);
 
 // Cause says which disturbances count.
--- a/samphirebank/soak/internal/target.h
+++ b/samphirebank/soak/internal/target.h
@@ -51,6 +51,7 @@
  private:
   struct Running;
 
+  const directory::SoftwareVersion& NextSoftware() const;
   void Listen();
   void Serve(const std::shared_ptr<web::Connection>& connection);
   void Read(const std::shared_ptr<Running>& running);
--- a/samphirebank/soak/judge_requests.cc
+++ b/samphirebank/soak/judge_requests.cc
@@ -16,15 +16,41 @@
          answer.status < 300;
 }
 
-std::string WholeBody(const RequestId& id, bool streamed) {
-  if (!streamed) return PlainBody(id);
+std::string WholeStream(const RequestId& id,
+                        const directory::SoftwareVersion& software) {
   std::string body;
   for (uint64_t number = 1; number <= EventsOf(id); ++number) {
-    body += EventText(id, number);
+    body += EventText(id, number, software);
   }
   return body;
 }
 
+// IsWhole returns whether an answer brought the rest of what a target sends.
+bool IsWhole(const RequestId& id, const SentRequest& sent,
+             const std::string& body) {
+  if (!sent.streamed) return body == PlainBody(id);
+  const RequestId& stream = sent.begun_by.value_or(id);
+  return std::ranges::any_of(SoftwareVersions(), [&](const auto& software) {
+    return sent.received + body == WholeStream(stream, software);
+  });
+}
+
+// JudgeStream judges what a caller has of a stream, whole or not: its events
+// are of one version.
+void JudgeStream(const RequestId& id, const RequestRecord& record,
+                 Verdicts& verdicts) {
+  const bool has_events =
+      record.sent.streamed && record.answer && record.answer->status == 200;
+  if (!has_events) return;
+  const std::string text = record.sent.received + record.answer->body;
+  const RequestId& stream = record.sent.begun_by.value_or(id);
+  const bool fits =
+      std::ranges::any_of(SoftwareVersions(), [&](const auto& software) {
+        return WholeStream(stream, software).starts_with(text);
+      });
+  if (!fits) verdicts.Add("a stream with events of two runs: " + id.value);
+}
+
 void JudgeRuns(const RequestId& id, const RequestRecord& record,
                Verdicts& verdicts) {
   const bool once = record.sent.repetition == routes::RetryPolicy::kNever;
@@ -54,7 +80,7 @@
   if (IsSuccess(answer)) {
     if (!answer.sealed) verdicts.Add("a success of our own: " + id.value);
     if (record.runs.empty()) verdicts.Add("answered but not run: " + id.value);
-    if (answer.body != WholeBody(id, record.sent.streamed)) {
+    if (!IsWhole(id, record.sent, answer.body)) {
       verdicts.Add("a wrong or short body that looks whole: " + id.value);
     }
   }
@@ -123,6 +149,7 @@
   for (const auto& [id, record] : ledger.requests) {
     JudgeRuns(id, record, verdicts);
     JudgeAnswer(id, record, verdicts);
+    JudgeStream(id, record, verdicts);
     JudgeLoss(ledger, id, record, verdicts);
     JudgeTime(ledger, id, record, verdicts);
     JudgeLeaving(ledger, bounds, id, record, verdicts);
--- a/samphirebank/soak/ledger.cc
+++ b/samphirebank/soak/ledger.cc
@@ -39,9 +39,18 @@
   return kLeast + std::hash<std::string>()(id.value) % kSpread;
 }
 
-std::string EventText(const RequestId& id, uint64_t number) {
+std::string EventText(const RequestId& id, uint64_t number,
+                      const directory::SoftwareVersion& software) {
   const std::string text = std::to_string(number);
-  return "id: " + text + "\ndata: " + id.value + "-" + text + "\n\n";
+  return "id: " + text + "\ndata: " + id.value + "-" + text + " by " +
+         software.value + "\n\n";
+}
+
+const std::vector<directory::SoftwareVersion>& SoftwareVersions() {
+  static const auto* const versions =
+      new std::vector<directory::SoftwareVersion>{
+          directory::SoftwareVersion("v1"), directory::SoftwareVersion("v2")};
+  return *versions;
 }
 
 std::string PlainBody(const RequestId& id) { return "ran " + id.value; }
--- a/samphirebank/soak/ledger_test.cc
+++ b/samphirebank/soak/ledger_test.cc
@@ -100,6 +100,31 @@
   CHECK(Finds(ledger, "does not name"));
 }
 
+// EventsBy returns the first two events of a stream, each by a version.
+std::string EventsBy(size_t first, size_t second) {
+  const auto& versions = SoftwareVersions();
+  return EventText(kId, 1, versions[first]) +
+         EventText(kId, 2, versions[second]);
+}
+
+TEST_CASE("a stream holds events of one software version, whole or not") {
+  Ledger ledger = Kept();
+  SentRequest& sent = ledger.requests.at(kId).sent;
+  sent.streamed = true;
+  const auto judge = [&](const std::string& received, const std::string& body) {
+    sent.received = received;
+    Replace(ledger, {.end = CallerEnd::kBroken, .status = 200, .body = body});
+    return Finds(ledger, "events of two runs");
+  };
+  CHECK_FALSE(judge("", EventsBy(0, 0)));
+  CHECK_FALSE(judge("", EventsBy(1, 1)));
+  CHECK(judge("", EventsBy(0, 1)));
+  // Over its caller's tries.
+  const std::string first = EventText(kId, 1, SoftwareVersions()[0]);
+  CHECK_FALSE(judge(first, EventText(kId, 2, SoftwareVersions()[0])));
+  CHECK(judge(first, EventText(kId, 2, SoftwareVersions()[1])));
+}
+
 TEST_CASE("a refusal must be true") {
   Ledger ledger = Kept();
   Replace(ledger, {.end = CallerEnd::kAnswered, .status = 503});
--- a/samphirebank/soak/target.cc
+++ b/samphirebank/soak/target.cc
@@ -72,6 +72,7 @@
       .service = this->service,
       .address = {.ip = "127.0.0.1", .port = this->link->port()},
       .zone = this->zone,
+      .software = this->NextSoftware(),
       .slots = kSlots,
       .started_at_ms = WallMilliseconds()};
   // The first run of all starts warm, so that the fleet serves soon.
@@ -86,6 +87,12 @@
   this->Beat();
 }
 
+// NextSoftware alternates, so that versions serve side by side.
+const directory::SoftwareVersion& Target::NextSoftware() const {
+  const auto& versions = SoftwareVersions();
+  return versions[(this->port + this->incarnation) % versions.size()];
+}
+
 void Target::Listen() {
   this->listener = std::make_unique<web::Listener>(
       this->world.loop,
@@ -246,13 +253,13 @@
 void Target::StreamEvent(const std::shared_ptr<Running>& running,
                          uint64_t number) {
   if (running->connection->closed()) return;
-  const RequestId id = running->request.id;
+  const RequestId id = running->request.begun_by.value_or(running->request.id);
   if (number > EventsOf(id)) {
     running->connection->Send(web::kLastChunk);
     running->busy = false;
     return this->Read(running);
   }
-  std::string event = EventText(id, number);
+  std::string event = EventText(id, number, this->announcement.software);
   const bool breaks =
       this->manner == Manner::kBreaks && this->world.Below(3) == 0;
   if (breaks) event.resize(1 + this->world.Below(event.size()));
