--- a/samphirebank/follow/follow_test.cc
+++ b/samphirebank/follow/follow_test.cc
@@ -302,8 +302,7 @@
   CHECK(BuildPoll(follower, kSeed, kStart).position == At(9));
 }
 
-// Guards against targets that stay unknown to a gateway that has just started:
-// they were renewed while it copied the others.
+// Guards against targets that stay unknown to a gateway that has just started.
 TEST_CASE("targets that are renewed during a copy in batches all arrive") {
   constexpr size_t kTargets = 5 * kMaxAnnouncements;
   Directory coordinator;
--- a/samphirebank/link/link_test.cc
+++ b/samphirebank/link/link_test.cc
@@ -223,8 +223,7 @@
   boost::asio::io_context& loop;
 };
 
-// Guards against route tables that an overloaded instance reads some turns of
-// its loop late, behind the events of its callers.
+// Guards against route tables that an overloaded instance reads late.
 TEST_CASE("a busy loop reads a message before a turn of its other events") {
   REQUIRE(sodium_init() >= 0);
   constexpr size_t kEventsPerTurn = 300;
