A gateway asks for a further batch of targets once, not for each update

Cause: a gateway that copies the targets in batches asks for the next one as soon as an update says that more follows. Coordinators also push updates on each change, from the position of the gateway's last poll. Each pushed one began another series of polls for the same batches, which went on to the end of the copy; with 3,000 targets a copy takes 430 batches from each coordinator.

Change: a gateway asks on at once only if the update brought it further.

The test failed before: `follow_test`, "an update that brings nothing new asks for no further one".

--- a/samphirebank/follow/follow.cc
+++ b/samphirebank/follow/follow.cc
@@ -96,15 +96,18 @@
   }
 }
 
-// Advance records that the changes of an update were received. An update that
-// was sent for another poll may leave out changes.
-void Advance(directory::Position& position, const Update& update) {
+// Advance records that the changes of an update were received, and returns
+// whether any were new. An update that was sent for another poll may leave out
+// changes.
+bool Advance(directory::Position& position, const Update& update) {
+  const directory::Position before = position;
   if (update.since.states <= position.states) {
     position.states = std::max(position.states, update.until.states);
   }
   if (update.since.renewals <= position.renewals) {
     position.renewals = std::max(position.renewals, update.until.renewals);
   }
+  return position != before;
 }
 
 void EvictUnresponsive(Follower& follower, TimePoint now) {
@@ -187,13 +190,13 @@
   source.table_version =
       same_run ? std::max(source.table_version, update.table_version)
                : update.table_version;
-  Advance(source.position, update);
+  const bool has_advanced = Advance(source.position, update);
   AddMembers(follower, update.members, now);
   follower.num_gateways = std::max<uint32_t>(update.num_gateways, 1);
   RecordAnnouncedTable(follower, update.table_version, now);
   MergeResult result{
       .zones = evacuation::TakeNewer(follower.evacuations, update.evacuations),
-      .has_more = update.has_more};
+      .has_more = update.has_more && has_advanced};
   for (const directory::Announcement& announcement : update.announcements) {
     const directory::Effect applied =
         directory::ApplyAnnouncement(directory, announcement, now);
--- a/samphirebank/follow/follow_test.cc
+++ b/samphirebank/follow/follow_test.cc
@@ -302,6 +302,16 @@
   CHECK(BuildPoll(follower, kSeed, kStart).position == At(9));
 }
 
+// Guards against copies that multiply, one for each update that is pushed.
+TEST_CASE("an update that brings nothing new asks for no further one") {
+  Follower follower = OneSeed();
+  Directory directory;
+  const Update batch{
+      .coordinator_boot = BootId(1), .until = At(9), .has_more = true};
+  CHECK(Merge(follower, kSeed, batch, directory, kStart).has_more);
+  CHECK_FALSE(Merge(follower, kSeed, batch, directory, kStart).has_more);
+}
+
 // Guards against targets that stay unknown to a gateway that has just started.
 TEST_CASE("targets that are renewed during a copy in batches all arrive") {
   constexpr size_t kTargets = 5 * kMaxAnnouncements;
