--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -416,7 +416,8 @@
         self.answered_here = 0  # on the open connection
         self.results = []
 
-    async def ask(self, path, deadline_ms=2000, body=b"hi", host="h.example"):
+    async def ask(self, path, deadline_ms=2000, body=b"hi", host="h.example",
+                  more=""):
         """Returns a dict: request, outcome (a status or 'closed'), kept."""
         request = f"{random.getrandbits(64):016x}"
         result = {"request": request, "outcome": "closed", "headers": {},
@@ -432,7 +433,7 @@
                 (f"POST {path} HTTP/1.1\r\nHost: {host}\r\n"
                  f"Samphirebank-Request-Id: {request}\r\n"
                  f"Samphirebank-Deadline-Ms: {deadline_ms}\r\n"
-                 f"X-Api-Key: {self.key}\r\n"
+                 f"X-Api-Key: {self.key}\r\n{more}"
                  f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
             status, headers, answer = await asyncio.wait_for(
                 read_answer(self.reader), deadline_ms / 1000)
