--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -397,14 +397,16 @@
         finally:
             self.running -= 1
         self.reply(writer, 200, request, f"done {request}".encode(),
-                   f"Samphirebank-Response-Seal: seal-{request}\r\n")
+                   f"Samphirebank-Response-Seal: seal-{request}\r\n",
+                   head_only=first.startswith("HEAD "))
         await writer.drain()
 
-    def reply(self, writer, status, request, body, more):
+    def reply(self, writer, status, request, body, more, head_only=False):
         writer.write((f"HTTP/1.1 {status} X\r\nSamphirebank-Request-Id: {request}"
                       f"\r\n{more}Keep-Alive: timeout=5\r\n"
                       f"Samphirebank-Instance-Load: {self.running},0,{self.slots}"
-                      f"\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
+                      f"\r\nContent-Length: {len(body)}\r\n\r\n").encode()
+                     + (b"" if head_only else body))
 
 
 class Client:
