--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,11 +4,6 @@
 # files that need no build; this checks that they can be read.
 set -euo pipefail
 cd "$(dirname "$0")"
-shopt -s nullglob
 for file in common-3/*.py 1[1-5]/*.py; do
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
-test -x ../target/bin/samphirebank || {
-  echo "build the deploy file's target first" >&2
-  exit 1
-}
