--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -97,6 +98,8 @@
     """Machines of one deployment; `seeds` are the first three coordinators."""
 
     def __init__(self, record, gateways=2, coordinators=3):
+        # A script that is stopped still ends its processes.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="review-fleet-")
         with open(ROOT / "deploy/system.toml", "rb") as file:
