--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -6,6 +6,7 @@
 #define SAMPHIREBANK_GATEWAY_INTERNAL_EXCHANGE_H_
 
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -114,13 +115,20 @@
   void Listen();
   void OnAnswerData();
   void OnConnectionEnd(web::End end);
+  // Guard runs a handler of the target's connection. What it throws ends the
+  // send as if the answer were broken, or else the caller's connection.
+  void Guard(const std::function<void()>& handler);
+  // DropAnswer returns false if no answer is awaited.
+  bool DropAnswer();
   void NoteBegun();
   void NoteBrokenOff(web::End end);
   bool TakeHead();
   void NoteTargetSaid();
   void TakeBody();
   void LearnReadingTime();
-  bool HoldsTooMuch() const;
+  // HoldsTooMuch says whether more is held back of the answer than may be, or
+  // would be by the length that it states.
+  bool HoldsTooMuch(web::ReadState state) const;
   void OnAnswerWhole();
   void NextAnswer();
   bool IsSuccess() const;
--- a/samphirebank/gateway/internal/session.h
+++ b/samphirebank/gateway/internal/session.h
@@ -45,6 +45,8 @@
   void EndChunks();
   // Cut breaks the answer off so that it cannot be taken for a whole one.
   void Cut();
+  // Abandon gives up the running request and the connection after a fault.
+  void Abandon();
   // CallerGone looks whether the caller has closed the connection; what the
   // loop has not come to yet counts too.
   bool CallerGone() { return this->connection->OtherSideClosed(); }
@@ -57,6 +59,8 @@
  private:
   void OnData();
   void OnEnd();
+  // Guard runs a handler of this connection; what it throws ends only it.
+  void Guard(const std::function<void()>& handler);
   void ReadRequest();
   void RefuseRequest(web::ReadState state);
   // HasMemory counts what is read, and says whether it may go on.
--- a/samphirebank/gateway/receiving.cc
+++ b/samphirebank/gateway/receiving.cc
@@ -74,7 +74,7 @@
       return this->Continue(SendResult::kIncomplete);
     }
     if (current.head_seen) this->TakeBody();
-    if (this->HoldsTooMuch()) {
+    if (this->HoldsTooMuch(state)) {
       this->EndSending(HealthResult::kFailure);
       return this->Continue(SendResult::kIncomplete);
     }
@@ -165,8 +165,13 @@
                               now - current.sent_at, now);
 }
 
-bool Exchange::HoldsTooMuch() const {
-  return this->sending->body.size() > kMaxAnswerBytes ||
+bool Exchange::HoldsTooMuch(web::ReadState state) const {
+  const Sending& current = *this->sending;
+  const bool goes_out_at_once = this->IsSuccess() && this->route->streamed;
+  const bool states_too_much =
+      state == web::ReadState::kMore && !goes_out_at_once &&
+      current.reader->stated_length().value_or(0) > kMaxAnswerBytes;
+  return states_too_much || current.body.size() > kMaxAnswerBytes ||
          this->stream.buffer.size() > kMaxEventBytes;
 }
 
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -61,7 +61,7 @@
       this->server.loop(), chosen->address, kConnectLimit,
       [self = this->shared_from_this()](
           std::shared_ptr<web::Connection> connection, web::ConnectEnd end) {
-        self->OnConnection(std::move(connection), end);
+        self->Guard([&] { self->OnConnection(std::move(connection), end); });
       });
 }
 
@@ -195,12 +195,32 @@
   this->sending->reader =
       std::make_unique<web::AnswerReader>(this->request.method == "HEAD");
   this->sending->connection->Start(
-      [self = this->shared_from_this()] { self->OnAnswerData(); },
+      [self = this->shared_from_this()] {
+        self->Guard([&self] { self->OnAnswerData(); });
+      },
       [self = this->shared_from_this()](web::End end) {
-        self->OnConnectionEnd(end);
+        self->Guard([&self, end] { self->OnConnectionEnd(end); });
       });
 }
 
+void Exchange::Guard(const std::function<void()>& handler) {
+  // The session is not known to live on once the exchange has ended.
+  std::weak_ptr<Session> caller;
+  if (!this->ended) caller = this->session.weak_from_this();
+  if (process::Contain(handler)) return;
+  bool is_dropped = false;
+  process::Contain([&] { is_dropped = this->DropAnswer(); });
+  if (is_dropped) return;
+  if (const auto open = caller.lock()) open->Abandon();
+}
+
+bool Exchange::DropAnswer() {
+  if (this->ended || !this->sending) return false;
+  this->EndSending(HealthResult::kFailure);
+  this->Continue(SendResult::kIncomplete);
+  return true;
+}
+
 void Exchange::Continue(SendResult end) {
   const TimePoint now = Now();
   const bool may_end_another = end == SendResult::kIncomplete &&
--- a/samphirebank/gateway/session.cc
+++ b/samphirebank/gateway/session.cc
@@ -26,8 +26,12 @@
 
 void Session::Start() {
   this->connection->Start(
-      [self = this->shared_from_this()] { self->OnData(); },
-      [self = this->shared_from_this()](web::End) { self->OnEnd(); });
+      [self = this->shared_from_this()] {
+        self->Guard([&self] { self->OnData(); });
+      },
+      [self = this->shared_from_this()](web::End) {
+        self->Guard([&self] { self->OnEnd(); });
+      });
   this->NextRequest();
 }
 
@@ -68,6 +72,15 @@
   this->server.Forget(*this);
 }
 
+void Session::Guard(const std::function<void()>& handler) {
+  if (!process::Contain(handler)) this->Abandon();
+}
+
+void Session::Abandon() {
+  this->OnEnd();
+  this->connection->CloseAfterSending();
+}
+
 void Session::ReadRequest() {
   const bool had_head = this->reader->head_done();
   const web::ReadState state = this->reader->Feed(&this->connection->input());
--- a/samphirebank/http/http.h
+++ b/samphirebank/http/http.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -100,6 +101,10 @@
   ReadState FeedEnd();
   bool head_done() const;
   int status() const;
+  // stated_length is the length in bytes that the head states of the body;
+  // empty before head_done, and where it states none. Nothing is reserved for
+  // it, and the body may end before.
+  std::optional<uint64_t> stated_length() const;
   Headers TakeHeaders();
   // TakeBody returns what was read of the body since the last call.
   std::string TakeBody();
--- a/samphirebank/http/http_test.cc
+++ b/samphirebank/http/http_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -105,6 +108,92 @@
   }
 }
 
+// Lengths that no machine has memory for.
+constexpr uint64_t kAbsurdLengths[] = {
+    uint64_t{1} << 40, uint64_t{1} << 53,
+    std::numeric_limits<uint64_t>::max() - 1};
+
+// Guards against an answer that states an absurd length and thereby ends the
+// process: the length was reserved.
+TEST_CASE("the length that an answer states takes no memory") {
+  for (const uint64_t length : kAbsurdLengths) {
+    CAPTURE(length);
+    AnswerReader reader;
+    CHECK_FALSE(reader.stated_length());
+    std::string input =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) +
+        "\r\n\r\nab";
+    CHECK(reader.Feed(&input) == ReadState::kMore);
+    CHECK(reader.stated_length() == length);
+    CHECK(reader.TakeBody() == "ab");
+    CHECK(reader.FeedEnd() == ReadState::kMalformed);
+  }
+}
+
+// Guards against the same by a caller, where operators allow long bodies.
+TEST_CASE("the length that a request states takes no memory") {
+  constexpr uint64_t kLongestAllowed = 1'000'000'000'000'000;
+  for (const uint64_t length : {uint64_t{1} << 40, kLongestAllowed}) {
+    CAPTURE(length);
+    RequestReader reader({.body_bytes = kLongestAllowed});
+    std::string input =
+        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(length) +
+        "\r\n\r\nab";
+    CHECK(reader.Feed(&input) == ReadState::kMore);
+    CHECK(reader.held() >= length);
+  }
+}
+
+TEST_CASE("a body without a length takes at most twice what was received") {
+  constexpr size_t kPiece = 1000;
+  constexpr size_t kHeadBytes = 200;
+  RequestReader reader({});
+  std::string input = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (size_t received = kPiece; received <= 100 * kPiece; received += kPiece) {
+    input += "3e8\r\n" + std::string(kPiece, 'x') + "\r\n";
+    REQUIRE(reader.Feed(&input) == ReadState::kMore);
+    CHECK(reader.held() >= received);
+    CHECK(reader.held() <= 2 * received + kPiece + kHeadBytes);
+  }
+}
+
+TEST_CASE("a body with a length takes at most that, and arrives unchanged") {
+  constexpr size_t kLength = 100'000;
+  const std::string head =
+      "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kLength) +
+      "\r\n\r\n";
+  std::string body;
+  for (size_t i = 0; i < kLength; ++i) {
+    body += static_cast<char>('a' + i % 26);
+  }
+  RequestReader reader({});
+  std::string input = head;
+  CHECK(reader.Feed(&input) == ReadState::kMore);
+  ReadState state = ReadState::kMore;
+  for (size_t at = 0; at < kLength; at += 7'000) {
+    input += body.substr(at, 7'000);
+    state = reader.Feed(&input);
+    CHECK(reader.held() <= kLength + head.size());
+  }
+  REQUIRE(state == ReadState::kWhole);
+  CHECK(reader.Take().body == body);
+}
+
+// Guards against a field that the parser cannot store and throws for, where
+// operators allow long heads.
+TEST_CASE("a field above 64 KiB is refused") {
+  for (const size_t size : {size_t{65'534}, size_t{70'000}, size_t{200'000}}) {
+    CAPTURE(size);
+    const std::string value =
+        "GET / HTTP/1.1\r\nX: " + std::string(size, 'x') + "\r\n\r\n";
+    const std::string name =
+        "GET / HTTP/1.1\r\n" + std::string(size, 'x') + ": y\r\n\r\n";
+    const ReadLimits limits{.head_bytes = 1 << 20};
+    CHECK(ReadAll(value, nullptr, limits) == ReadState::kHeadTooLarge);
+    CHECK(ReadAll(name, nullptr, limits) == ReadState::kHeadTooLarge);
+  }
+}
+
 TEST_CASE("a sender that waits for a 100 is noticed") {
   RequestReader reader({});
   std::string input =
--- a/samphirebank/http/readers.cc
+++ b/samphirebank/http/readers.cc
@@ -5,16 +5,19 @@
 #include <cctype>
 #include <limits>
 #include <optional>
+#include <stdexcept>
 #include <string_view>
 #include <utility>
 
 #include "samphirebank/http/http.h"
+#include "samphirebank/http/internal/received_body.h"
 
 namespace samphirebank::http {
 namespace {
 
 namespace beast = boost::beast::http;
 using boost::system::error_code;
+using internal::ReceivedBody;
 
 constexpr uint32_t kAnswerHeadBytes = 64 << 10;
 // HTTP has no other statuses; the parser takes any three digits.
@@ -41,9 +44,9 @@
   return ReadState::kMalformed;
 }
 
-// FeedParser feeds `input` to a parser and removes what it took.
+// FeedBytes feeds `input` to a parser and removes what it took.
 template <typename Parser>
-ReadState FeedParser(Parser& parser, std::string* input) {
+ReadState FeedBytes(Parser& parser, std::string* input) {
   while (!parser.is_done()) {
     if (input->empty()) return ReadState::kMore;
     error_code error;
@@ -55,6 +58,17 @@
   return ReadState::kWhole;
 }
 
+// FeedParser does the same. The parser throws for a field above 64 KiB, which
+// it cannot store.
+template <typename Parser>
+ReadState FeedParser(Parser& parser, std::string* input) {
+  try {
+    return FeedBytes(parser, input);
+  } catch (const std::length_error&) {
+    return ReadState::kHeadTooLarge;
+  }
+}
+
 // HasFoldedLine returns whether a line of a head starts with a blank, which the
 // parser joins to the value of the line before. `input` begins with what the
 // parser has not taken: it takes a line when the next one has begun.
@@ -90,7 +104,7 @@
 }  // namespace
 
 struct RequestReader::Impl {
-  beast::request_parser<beast::string_body> parser;
+  beast::request_parser<ReceivedBody> parser;
   uint64_t max_rest = 0;
   uint64_t head_bytes = 0;
 };
@@ -144,7 +158,7 @@
 }
 
 Request RequestReader::Take() {
-  beast::request<beast::string_body> message = this->impl->parser.release();
+  beast::request<ReceivedBody> message = this->impl->parser.release();
   return {.method = std::string(message.method_string()),
           .target = std::string(message.target()),
           .headers = HeadersOf(message),
@@ -153,7 +167,7 @@
 }
 
 struct AnswerReader::Impl {
-  beast::response_parser<beast::string_body> parser;
+  beast::response_parser<ReceivedBody> parser;
   std::optional<bool> is_valid_head;  // once it was read
 
   // HasValidHead returns whether nothing wrong was read of the head so far.
@@ -201,6 +215,12 @@
   return static_cast<int>(this->impl->parser.get().result_int());
 }
 
+std::optional<uint64_t> AnswerReader::stated_length() const {
+  const auto length = this->impl->parser.content_length();
+  if (!this->head_done() || !length) return std::nullopt;
+  return *length;
+}
+
 Headers AnswerReader::TakeHeaders() {
   return HeadersOf(this->impl->parser.get());
 }
--- a/samphirebank/process/process.cc
+++ b/samphirebank/process/process.cc
@@ -121,6 +121,17 @@
   }
 }
 
+bool Contain(const std::function<void()>& action) {
+  try {
+    action();
+    return true;
+  } catch (const std::exception& error) {
+    events::Log(
+        {.number = events::Number::kInternalError, .detail = error.what()});
+    return false;
+  }
+}
+
 int Run(const std::string& name,
         const std::function<int(boost::asio::io_context&)>& serve) {
   std::signal(SIGPIPE, SIG_IGN);
--- a/samphirebank/process/process.h
+++ b/samphirebank/process/process.h
@@ -71,6 +71,11 @@
               const std::function<void()>& read_peers);
 inline constexpr Duration kPeerReadInterval = std::chrono::milliseconds(10);
 
+// Contain runs `action`, which serves one connection, and returns true. If it
+// throws, the exception is logged and Contain returns false; the caller then
+// has to end that connection, so that all others go on.
+bool Contain(const std::function<void()>& action);
+
 // Run gives `serve` a loop on which SIGHUP is logged (settings are read at the
 // start only), and returns its exit code; 1 if it throws. SIGPIPE and SIGXFSZ
 // are ignored, so that such writes fail like others. Logging ends with it.
