ORDER: a stream goes on only at a gateway that is in step

Reported from other systems: one gateway was out of step while targets of a new version joined, and streams that were taken up there were joined from two versions.

Cause here: not with new targets (tests with a gateway that is cut off and one that stands still passed before any change), but with targets that start again under their id: the gateway took what it had last heard of a target for the present.

Change: a stream that has begun goes on only while what the gateway knows is at most 1.5 s old, by more than half of the coordinators; an update counts from when its poll was sent. Peers' messages change, so the protocol version does too.

--- a/samphirebank/coordinator/internal/server.h
+++ b/samphirebank/coordinator/internal/server.h
@@ -84,6 +84,7 @@
     directory::Position position{};
     routes::TableVersion table{};
     TimePoint polled_at{};
+    uint64_t poll_sent_ms = 0;  // by the follower's clock
     TimePoint table_sent_at{};
     routes::TableVersion table_sent{};
     TimePoint load_sent_at{};
--- a/samphirebank/coordinator/peers.cc
+++ b/samphirebank/coordinator/peers.cc
@@ -125,6 +125,7 @@
   const TimePoint now = Now();
   FollowerRecord& record = this->followers[from];
   record.polled_at = now;
+  record.poll_sent_ms = poll.sent_ms;
   record.table = poll.table_version;
   record.is_gateway = poll.is_gateway;
   record.takes_table = poll.include_table;
@@ -141,7 +142,8 @@
                         .region = this->settings.identity.region,
                         .members = this->replication->members(),
                         .num_gateways = this->num_gateways,
-                        .evacuations = this->document.evacuations};
+                        .evacuations = this->document.evacuations,
+                        .poll_sent_ms = record.poll_sent_ms};
   if (record.is_gateway) {
     directory::Changes changes = directory::ChangesSince(
         this->directory, record.position, follow::kMaxAnnouncements);
--- a/samphirebank/follow/follow.cc
+++ b/samphirebank/follow/follow.cc
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <chrono>
+#include <cstddef>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -110,6 +112,24 @@
   return position != before;
 }
 
+using std::chrono::milliseconds;
+
+uint64_t MsOf(TimePoint at) {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<milliseconds>(at.time_since_epoch()).count());
+}
+
+// RecordKnown notes up to when the state of a coordinator is known. A number
+// that is none of this instance's polls counts for nothing.
+void RecordKnown(Source& source, const Update& update, TimePoint now) {
+  const bool is_polled =
+      update.poll_sent_ms > 0 && update.poll_sent_ms <= MsOf(now);
+  if (update.has_more || !is_polled) return;
+  const TimePoint sent_at{
+      milliseconds(static_cast<int64_t>(update.poll_sent_ms))};
+  source.known_until = std::max(source.known_until.value_or(sent_at), sent_at);
+}
+
 void EvictUnresponsive(Follower& follower, TimePoint now) {
   std::erase_if(follower.sources, [&](const auto& item) {
     const Source& source = item.second;
@@ -164,7 +184,8 @@
 
 Poll BuildPoll(const Follower& follower, const InstanceId& to, TimePoint now) {
   Poll poll{.table_version = follower.installed,
-            .include_table = ShouldIncludeTable(follower, to, now)};
+            .include_table = ShouldIncludeTable(follower, to, now),
+            .sent_ms = MsOf(now)};
   const auto found = follower.sources.find(to);
   if (found == follower.sources.end()) return poll;
   poll.coordinator_boot = found->second.boot;
@@ -183,6 +204,7 @@
     source.position = {};
   }
   source.last_seen = now;
+  RecordKnown(source, update, now);
   source.zone = update.zone;
   source.region = update.region;
   source.next_poll =
@@ -255,6 +277,22 @@
   return responsive;
 }
 
+bool IsInStep(const Follower& follower, TimePoint now) {
+  const Options& options = follower.options;
+  size_t num_heard = 0;
+  size_t num_known = 0;
+  for (const auto& [id, source] : follower.sources) {
+    const bool is_heard =
+        source.last_seen && now - *source.last_seen < options.eviction_delay;
+    if (!is_heard) continue;
+    ++num_heard;
+    const bool is_known =
+        source.known_until && now - *source.known_until < options.max_state_age;
+    if (is_known) ++num_known;
+  }
+  return 2 * num_known > num_heard;
+}
+
 Duration TimeSinceLastUpdate(const Follower& follower, TimePoint now) {
   Duration shortest = Duration::max();
   for (const auto& [id, source] : follower.sources) {
--- a/samphirebank/follow/follow.h
+++ b/samphirebank/follow/follow.h
@@ -45,11 +45,12 @@
   routes::TableVersion table_version{};  // of the sender
   bool is_gateway = true;
   bool include_table = true;  // the coordinator should send a newer table
+  uint64_t sent_ms = 0;       // by the sender's steady clock
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
     archive(coordinator_boot, position, table_version, is_gateway,
-            include_table);
+            include_table, sent_ms);
   }
 };
 
@@ -69,11 +70,13 @@
   std::vector<InstanceId> members{};     // of the control group
   uint32_t num_gateways = 0;             // that poll this coordinator
   evacuation::Evacuations evacuations{};
+  uint64_t poll_sent_ms = 0;  // Poll::sent_ms of the follower's newest poll
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: the name cereal calls
     archive(coordinator_boot, since, until, has_more, announcements, renewed,
-            table_version, zone, region, members, num_gateways, evacuations);
+            table_version, zone, region, members, num_gateways, evacuations,
+            poll_sent_ms);
   }
 };
 
@@ -118,6 +121,9 @@
   // A coordinator that renews a run unknown here is asked for all its targets
   // again, at most once in this time.
   Duration resync_interval = std::chrono::seconds(5);
+  // A coordinator's state is up to date for this time. Less than a target takes
+  // to start again.
+  Duration max_state_age = std::chrono::milliseconds(1500);
 };
 
 // Source is a follower's record of one coordinator.
@@ -125,6 +131,8 @@
   BootId boot{};
   directory::Position position{};        // in the directory of `boot`
   std::optional<TimePoint> last_seen{};  // when its newest update was received
+  // All that it knew at this time is known here.
+  std::optional<TimePoint> known_until{};
   TimePoint added_at{};
   TimePoint next_poll{};
   bool is_seed = false;
@@ -193,6 +201,11 @@
 // options.response_timeout.
 std::vector<InstanceId> Responsive(const Follower& follower, TimePoint now);
 
+// IsInStep returns whether what this instance knows is up to date with more
+// than half of the coordinators that it has heard of within eviction_delay. An
+// update that has waited unread says nothing of the time since its poll.
+bool IsInStep(const Follower& follower, TimePoint now);
+
 // TimeSinceLastUpdate returns the time since the newest update of any
 // coordinator. A coordinator without an update counts from when it was added.
 Duration TimeSinceLastUpdate(const Follower& follower, TimePoint now);
--- a/samphirebank/follow/follow_test.cc
+++ b/samphirebank/follow/follow_test.cc
@@ -259,6 +259,54 @@
 
 // Guards against targets that stay unknown after a gateway was cut off for
 // longer than their heartbeat timeout.
+// PollAndMerge merges the update for a poll that was sent at `sent_at` and
+// received at `received_at`.
+void PollAndMerge(Follower& follower, const InstanceId& from, TimePoint sent_at,
+                  TimePoint received_at, bool has_more = false) {
+  Directory directory;
+  const Poll poll = BuildPoll(follower, from, sent_at);
+  Merge(follower, from,
+        {.coordinator_boot = BootId(1),
+         .has_more = has_more,
+         .poll_sent_ms = poll.sent_ms},
+        directory, received_at);
+}
+
+// Guards against an instance that stood still and takes what it reads first for
+// news (issue 61).
+TEST_CASE("an update is as old as the poll that it answers") {
+  Follower follower = OneSeed();
+  CHECK_FALSE(IsInStep(follower, kStart));
+  PollAndMerge(follower, kSeed, kStart, kStart + seconds(1), true);
+  CHECK_FALSE(IsInStep(follower, kStart + seconds(1)));
+  PollAndMerge(follower, kSeed, kStart, kStart + seconds(1));
+  CHECK(IsInStep(follower, kStart + seconds(1)));
+  CHECK_FALSE(IsInStep(follower, kStart + seconds(2)));
+  PollAndMerge(follower, kSeed, kStart, kStart + seconds(9));
+  CHECK_FALSE(IsInStep(follower, kStart + seconds(9)));
+  PollAndMerge(follower, kSeed, kStart + seconds(9), kStart + seconds(9));
+  CHECK(IsInStep(follower, kStart + seconds(9)));
+}
+
+// Guards against an instance that is cut off beside one coordinator.
+TEST_CASE("an instance is in step with more than half of the coordinators") {
+  const InstanceId third("10.0.0.3");
+  Follower follower = Start({.seeds = {kSeed, kOther, third}}, kStart);
+  const auto hear = [&](const InstanceId& from, TimePoint at) {
+    PollAndMerge(follower, from, at, at);
+  };
+  for (const InstanceId& from : {kSeed, kOther, third}) hear(from, kStart);
+  const TimePoint later = kStart + seconds(5);
+  hear(kSeed, later);
+  CHECK_FALSE(IsInStep(follower, later));
+  hear(kOther, later);
+  CHECK(IsInStep(follower, later));
+  // One that was replaced long ago does not count.
+  const TimePoint last = later + follower.options.eviction_delay;
+  hear(kSeed, last);
+  CHECK(IsInStep(follower, last));
+}
+
 TEST_CASE("a coordinator that renews an unknown run is asked for all targets") {
   Follower follower = OneSeed();
   Directory directory;
--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -96,6 +96,9 @@
   // Streams that go on.
   bool TakesUpStream() const;
   void LookUpOrigin();
+  // StopIfOutOfStep ends a stream that has begun if this instance may take a
+  // target for an earlier run of another version.
+  bool StopIfOutOfStep(TimePoint now);
   // FindServiceOf returns the service of the route with targets of `software`;
   // empty if there is none.
   std::optional<ServiceId> FindServiceOf(origins::Software wanted) const;
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -190,6 +190,11 @@
   //
   // NoteOrigin records what began a stream whose first event goes out now.
   void NoteOrigin(const origins::Origin& origin);
+  // IsInStep says whether the targets' versions are known well enough for a
+  // stream to go on; see follow.
+  bool IsInStep(TimePoint now) const {
+    return follow::IsInStep(this->follower, now);
+  }
   // LookUpOrigin calls OnOrigin of `exchange`: at once if the stream began
   // here, else when a coordinator has told its origin or none has in time.
   void LookUpOrigin(const std::shared_ptr<Exchange>& exchange,
--- a/samphirebank/gateway/origins.cc
+++ b/samphirebank/gateway/origins.cc
@@ -1,6 +1,7 @@
 // Which software began the streams that callers take up.
 #include <algorithm>
 #include <chrono>
+#include <string>
 #include <utility>
 
 #include "samphirebank/gateway/internal/exchange.h"
@@ -141,6 +142,20 @@
   return std::nullopt;
 }
 
+bool Exchange::StopIfOutOfStep(TimePoint now) {
+  if (!this->begun_by || this->server.IsInStep(now)) return false;
+  const std::string reason = "this instance is out of step";
+  this->server.NoteRefusedForOrigin();
+  if (this->progress.response_started) {
+    this->Cut(reason);
+  } else if (this->progress.may_have_run) {
+    this->FailUnknown(502, reason);
+  } else {
+    this->RefuseForNow(reason);
+  }
+  return true;
+}
+
 // NoteOrigin binds the stream that begins now to its target's software.
 void Exchange::NoteOrigin() {
   if (this->begun_by) return;
--- a/samphirebank/gateway/sending.cc
+++ b/samphirebank/gateway/sending.cc
@@ -31,6 +31,7 @@
 void Exchange::SendToTarget() {
   if (this->StopIfQuarantined()) return;
   const TimePoint now = Now();
+  if (this->StopIfOutOfStep(now)) return;
   const TargetFilter filter = this->Filter();
   const auto chosen =
       this->server.ChooseTarget(this->service, filter, this->work, now);
--- a/samphirebank/wire/wire.h
+++ b/samphirebank/wire/wire.h
@@ -52,7 +52,7 @@
 namespace leaf = boost::leaf;
 
 // kVersion is the protocol version; other versions are refused.
-inline constexpr uint8_t kVersion = 5;
+inline constexpr uint8_t kVersion = 6;
 
 // Kind says which message a packet holds. Values are never reused.
 enum class Kind : uint16_t {
