Event 211: what an instance refuses an organisation, by reason and in tokens

Event 211 sums them up once a second for the ten most refused organisations of a gateway: asked, admitted, refused by reason, in requests and tokens, with the organisation's rate, standing and nominal share over the fleet, the fraction shed and the age of the other gateways' load. Counters by reason and gauges for the same, and counters for callers that reach no decision.

No decision changes.

--- a/samphirebank/events/catalogue.cc
+++ b/samphirebank/events/catalogue.cc
@@ -47,6 +47,7 @@
       {Number::kRequestResumed, "request-resumed", kInfo, "A cut stream goes on.", {"request", "organisation", "service", "target", "bytes", "count", "duration_ms", "reason"}},
       {Number::kRequestCut, "request-cut", kWarning, "A caller's answer ended before it was whole.", {"request", "organisation", "service", "target", "tokens", "bytes", "duration_ms", "count", "outcome", "reason"}},
       {Number::kCallerLeft, "caller-left", kInfo, "A caller went away, or was cut as too slow, before its answer ended.", {"request", "organisation", "service", "target", "duration_ms", "count", "reason"}},
+      {Number::kOrganisationRefused, "organisation-refused", kInfo, "An organisation had so many requests refused in the last second: what it asked and was admitted at this instance, how it stands over the fleet, and how old the load of the other instances is.", {"organisation", "tokens", "duration_ms", "count", "detail"}},
 
       {Number::kTargetAnnounced, "target-announced", kInfo, "A target is new, or came back.", {"target", "address", "region", "service", "count", "peer", "detail"}},
       {Number::kTargetLost, "target-lost", kWarning, "A target stopped renewing its announcement.", {"target", "duration_ms"}},
--- a/samphirebank/events/events.h
+++ b/samphirebank/events/events.h
@@ -60,6 +60,7 @@
   kRequestResumed = 208,
   kRequestCut = 209,
   kCallerLeft = 210,
+  kOrganisationRefused = 211,
 
   kTargetAnnounced = 300,
   kTargetLost = 301,
--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -106,6 +106,7 @@
   if (!this->DecodeCall()) return;
   if (!this->Admit()) return;
   if (this->StopIfQuarantined()) return;
+  this->server.NoteArrival(this->organisation, this->TokensOf());
   if (this->Shed()) return;
   this->StartLimit();
   this->server.NoteServiceRequest(this->service);
@@ -145,6 +146,9 @@
     this->server.NoteAdmitted(this->organisation, this->TokensOf());
     return true;
   }
+  this->refusal = decision == admission::Decision::kRefusedAhead
+                      ? accounting::Refusal::kAhead
+                      : accounting::Refusal::kBusy;
   this->RefuseForNow(
       RefusalText(decision, chosen, share),
       admission::RetryAfter(options, share.used, share.levels.nominal, seed));
@@ -192,6 +196,7 @@
   if (!this->server.ShouldShed(this->organisation, seed, this->begun_at)) {
     return false;
   }
+  this->refusal = accounting::Refusal::kOverloaded;
   this->RefuseForNow("this instance is overloaded",
                      this->server.ShedRetryAfter(seed));
   return true;
@@ -320,6 +325,7 @@
 
 void Exchange::RefuseForNow(const std::string& reason,
                             std::optional<Duration> return_after) {
+  this->server.NoteRefused(this->organisation, this->refusal, this->TokensOf());
   events::Event event = this->EventOf(Number::kRequestRefused);
   event.status = 503;
   event.outcome = "not-run";
--- a/samphirebank/gateway/fleet_view.cc
+++ b/samphirebank/gateway/fleet_view.cc
@@ -3,8 +3,11 @@
 #include <chrono>
 #include <cmath>
 #include <limits>
+#include <optional>
+#include <string>
 #include <utility>
 
+#include "samphirebank/events/events.h"
 #include "samphirebank/gateway/internal/server.h"
 #include "samphirebank/process/process.h"
 
@@ -16,6 +19,10 @@
 
 // Rates below it, in tokens a second, are not told and forgotten.
 constexpr double kLeastRate = 1.0;
+// Organisations that were refused are logged once in this period, at most so
+// many of them.
+constexpr Duration kAccountPeriod = std::chrono::seconds(1);
+constexpr size_t kMostAccountsLogged = 10;
 
 uint32_t Whole(double rate) {
   return static_cast<uint32_t>(std::lround(std::max(rate, 0.0)));
@@ -23,6 +30,10 @@
 
 }  // namespace
 
+void Server::NoteArrival(const OrganisationId& organisation, Tokens tokens) {
+  accounting::RecordAsked(this->accounts, organisation, tokens);
+}
+
 void Server::NoteAsked(const OrganisationId& organisation, Tokens tokens) {
   fleetload::Add(this->usage[organisation].asked,
                  static_cast<double>(tokens.value), Now());
@@ -31,6 +42,13 @@
 void Server::NoteAdmitted(const OrganisationId& organisation, Tokens tokens) {
   fleetload::Add(this->usage[organisation].admitted,
                  static_cast<double>(tokens.value), Now());
+  accounting::RecordAdmitted(this->accounts, organisation, tokens);
+}
+
+void Server::NoteRefused(const OrganisationId& organisation,
+                         accounting::Refusal reason, Tokens tokens) {
+  accounting::RecordRefused(this->accounts, organisation, reason, tokens);
+  this->metrics.refused_by_reason[static_cast<size_t>(reason)]->Add(1);
 }
 
 void Server::NoteAdmission(admission::Decision decision) {
@@ -69,6 +87,33 @@
   this->AskForTokens(this->PeerAddress(*to), now);
 }
 
+std::string Server::AccountText(const accounting::Entry& entry,
+                                TimePoint now) const {
+  const Share share = this->ShareOf(entry.organisation, now);
+  return accounting::ToText(entry.account) + "; fleet: admitted " +
+         std::to_string(Whole(share.used)) + " tokens/s, nominal share " +
+         std::to_string(share.levels.nominal) + ", standing " +
+         std::to_string(share.standing.ratio) + "; shed fraction " +
+         std::to_string(this->shedding.refused_fraction);
+}
+
+void Server::LogAccounts(TimePoint now) {
+  if (now - this->accounts_logged_at < kAccountPeriod) return;
+  this->accounts_logged_at = now;
+  std::optional<Duration> age;
+  if (this->others_told_at) age = now - *this->others_told_at;
+  for (const accounting::Entry& entry :
+       accounting::TakeMostRefused(this->accounts, kMostAccountsLogged)) {
+    events::Log({.number = events::Number::kOrganisationRefused,
+                 .organisation = entry.organisation,
+                 .tokens = entry.account.asked.tokens,
+                 .duration = age,
+                 .count = static_cast<int64_t>(
+                     accounting::RefusedOf(entry.account).requests),
+                 .detail = this->AccountText(entry, now)});
+  }
+}
+
 void Server::TakeLoadSum(const fleetload::Load& load, TimePoint now) {
   this->others_told_at = now;
   std::unordered_map<fleetload::IdHash, Duration> waits;
--- a/samphirebank/gateway/internal/exchange.h
+++ b/samphirebank/gateway/internal/exchange.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "samphirebank/accounting/accounting.h"
 #include "samphirebank/dialect/dialect.h"
 #include "samphirebank/dispatch/dispatch.h"
 #include "samphirebank/events/events.h"
@@ -190,6 +191,8 @@
   std::optional<TimePoint> first_answer_at;
   int64_t bytes_passed = 0;
   bool admitted = false;  // its prompt
+  // The reason that a refusal is counted under.
+  accounting::Refusal refusal = accounting::Refusal::kOther;
   bool ended = false;
 };
 
--- a/samphirebank/gateway/internal/metrics.h
+++ b/samphirebank/gateway/internal/metrics.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 
+#include "samphirebank/accounting/accounting.h"
 #include "samphirebank/metrics/metrics.h"
 
 namespace samphirebank::gateway {
@@ -45,6 +46,9 @@
   metrics::Counter& refused_for_rate_limit;
   metrics::Counter& streams_taken_up;
   metrics::Counter& refused_for_origin;
+  metrics::Counter& given_up_unread;
+  metrics::Counter& turned_away;
+  std::array<metrics::Counter*, accounting::kRefusals> refused_by_reason{};
   metrics::Counter& refused_ahead;
   metrics::Counter& admitted_behind;
   metrics::Counter& warmup_tokens_received;
@@ -60,6 +64,8 @@
   metrics::Gauge& cold_targets;
   metrics::Gauge& rate_limited_targets;
   metrics::Gauge& organisations_held_back;
+  metrics::Gauge& load_sum_age;
+  metrics::Gauge& shed_fraction;
   metrics::Gauge& control_silence;
 
   Metrics();
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -17,6 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "samphirebank/accounting/accounting.h"
 #include "samphirebank/admission/admission.h"
 #include "samphirebank/dialect/dialect.h"
 #include "samphirebank/directory/directory.h"
@@ -179,9 +180,14 @@
   bool IsHeldBack(const TargetId& target,
                   const std::optional<warmup::Token>& token,
                   TimePoint now) const;
-  // What an organisation asks for and gets; see fleetload.
+  // What an organisation asks for and gets; see fleetload and accounting.
+  //
+  // NoteArrival records a request before it is decided whether to shed it.
+  void NoteArrival(const OrganisationId& organisation, Tokens tokens);
   void NoteAsked(const OrganisationId& organisation, Tokens tokens);
   void NoteAdmitted(const OrganisationId& organisation, Tokens tokens);
+  void NoteRefused(const OrganisationId& organisation,
+                   accounting::Refusal reason, Tokens tokens);
   Share ShareOf(const OrganisationId& organisation, TimePoint now) const;
   const admission::Options& admission_options() const {
     return this->admission;
@@ -249,6 +255,7 @@
   void NoteChosenAgain() { this->metrics.chosen_again.Add(1); }
   void NoteSentToOtherRegion() { this->metrics.sent_to_other_region.Add(1); }
   void NoteUnreadable(int status);
+  void NoteGivenUpUnread() { this->metrics.given_up_unread.Add(1); }
   void NoteOutcome(Outcome outcome, Duration latency);
 
  private:
@@ -300,6 +307,9 @@
   void PruneRestricted(TimePoint now);
   void SendPolls(TimePoint now);
   void ReportLoad(TimePoint now);
+  // LogAccounts logs which organisations were refused, and how they stand.
+  void LogAccounts(TimePoint now);
+  std::string AccountText(const accounting::Entry& entry, TimePoint now) const;
   void ReportEvidence(const net::SocketAddress& coordinator, TimePoint now);
   void JudgeParts(TimePoint now);
   // LookAtAnswers finds out which answers go on, if that matters.
@@ -356,6 +366,8 @@
     fleetload::RateMeter admitted{};
   };
   std::map<OrganisationId, Usage> usage;
+  accounting::Accounts accounts;  // since accounts_logged_at
+  TimePoint accounts_logged_at;
   // What other gateways told, and when.
   std::unordered_map<fleetload::IdHash, fleetload::OrganisationRates>
       others_usage;
--- a/samphirebank/gateway/metrics.cc
+++ b/samphirebank/gateway/metrics.cc
@@ -73,6 +73,13 @@
           {.name = "refused_for_origin_total",
            .help = "Streams that were not taken up, since the software version "
                    "that began them is not known or has no target."})),
+      given_up_unread(this->registry.AddCounter(
+          {.name = "given_up_unread_total",
+           .help = "Requests whose callers had left before they were read."})),
+      turned_away(this->registry.AddCounter(
+          {.name = "turned_away_total",
+           .help = "Callers' connections closed unread, since too many are "
+                   "open."})),
       refused_ahead(this->registry.AddCounter(
           {.name = "refused_ahead_total",
            .help =
@@ -120,6 +127,13 @@
       organisations_held_back(this->registry.AddGauge(
           {.name = "organisations_held_back",
            .help = "Organisations that are ahead of one that is backlogged."})),
+      load_sum_age(this->registry.AddGauge(
+          {.name = "load_sum_age_seconds",
+           .help = "Time since the load of the other gateways was heard."})),
+      shed_fraction(this->registry.AddGauge(
+          {.name = "shed_fraction",
+           .help = "Fraction of requests that this instance refuses since it "
+                   "is overloaded."})),
       control_silence(this->registry.AddGauge(
           {.name = "control_silence_seconds",
            .help = "Time since a coordinator was heard."})) {
@@ -129,6 +143,14 @@
          .help = "Requests by how they ended.",
          .labels = {{.name = "outcome", .value = kOutcomeNames[i]}}});
   }
+  for (size_t i = 0; i < accounting::kRefusals; ++i) {
+    this->refused_by_reason[i] = &this->registry.AddCounter(
+        {.name = "refused_for_now_total",
+         .help = "Requests refused with 503, by reason.",
+         .labels = {{.name = "reason",
+                     .value = std::string(accounting::NameOf(
+                         static_cast<accounting::Refusal>(i)))}}});
+  }
 }
 
 }  // namespace samphirebank::gateway
--- a/samphirebank/gateway/server.cc
+++ b/samphirebank/gateway/server.cc
@@ -89,7 +89,10 @@
       this->event_loop, this->settings.caller_address,
       [this](std::shared_ptr<web::Connection> connection) {
         // Closed unread, so that its caller tries another instance at once.
-        if (this->sessions.size() >= kMaxSessions) return connection->Close();
+        if (this->sessions.size() >= kMaxSessions) {
+          this->metrics.turned_away.Add(1);
+          return connection->Close();
+        }
         auto session = std::make_shared<Session>(*this, std::move(connection));
         this->sessions.insert(session);
         session->Start();
@@ -174,6 +177,7 @@
   this->SendPolls(now);
   this->JudgeParts(now);
   this->ReportLoad(now);
+  this->LogAccounts(now);
   this->ReportOrigins(now);
   this->StepLookups(now);
   this->ForgetTargets(now);
--- a/samphirebank/gateway/session.cc
+++ b/samphirebank/gateway/session.cc
@@ -103,6 +103,7 @@
   // What waited for long may have been given up.
   if (this->server.IsLate(process::Now()) &&
       this->connection->OtherSideClosed()) {
+    this->server.NoteGivenUpUnread();
     this->connection->Close();
     return this->server.Forget(*this);
   }
--- a/samphirebank/gateway/targets.cc
+++ b/samphirebank/gateway/targets.cc
@@ -298,6 +298,10 @@
   this->metrics.cold_targets.Set(number(this->cold_targets.entries.size()));
   this->metrics.rate_limited_targets.Set(
       number(this->stated_limits.entries.size()));
+  const std::chrono::duration<double> sum_age =
+      Now() - this->others_told_at.value_or(this->started_at);
+  this->metrics.load_sum_age.Set(sum_age.count());
+  this->metrics.shed_fraction.Set(this->shedding.refused_fraction);
   this->metrics.control_silence.Set(silence.count());
   return {.status = 200,
           .headers = {{"content-type", "text/plain; version=0.0.4"}},
