A ceiling over the fleet for organisations while others are backlogged

Cause: who is ahead was held back by a chance at each try, and only at idle targets. Most of what the larger one got waited some ms at busy targets, where nothing held it back; its tries made up for the chance elsewhere.

Change: while two are backlogged, no organisation above its nominal share is admitted more than 1.5 times the max-min level over the fleet, at any wait. Each gateway keeps to the part of it that the organisation's demand there is of its whole demand. Tokens accrue at ticks and are spent by admissions only.

--- a/samphirebank/admission/admission.cc
+++ b/samphirebank/admission/admission.cc
@@ -21,6 +21,27 @@
   return std::min(wait_ratio, options.max_wait_ratio);
 }
 
+bool IsIdle(const Options& options, const Request& request) {
+  return request.wait <= options.idle_threshold;
+}
+
+Decision DecideByWait(const Options& options, const Request& request) {
+  const double ratio = WaitRatio(options, request);
+  const bool is_admitted = IsIdle(options, request) ||
+                           request.wait <= Scale(request.latency_target, ratio);
+  if (is_admitted) return Decision::kAdmitted;
+  const bool is_raised =
+      request.standing.behind &&
+      request.wait <= Scale(request.latency_target, options.behind_wait_ratio);
+  return is_raised ? Decision::kAdmittedBehind : Decision::kRefusedBusy;
+}
+
+bool IsHeldBack(const Options& options, const Request& request) {
+  if (request.used <= request.fair_shares.nominal) return false;
+  const bool loses_draw = request.draw >= request.standing.idle_chance;
+  return request.over_ceiling || (IsIdle(options, request) && loses_draw);
+}
+
 }  // namespace
 
 double CurrentCapacity(double stated, double admitted) {
@@ -29,20 +50,9 @@
 }
 
 Decision Decide(const Options& options, const Request& request) {
-  if (request.wait <= options.idle_threshold) {
-    const bool is_below_share = request.used <= request.fair_shares.nominal;
-    const bool is_held_back =
-        !is_below_share && request.draw >= request.standing.idle_chance;
-    return is_held_back ? Decision::kRefusedAhead : Decision::kAdmitted;
-  }
-  const double ratio = WaitRatio(options, request);
-  if (request.wait <= Scale(request.latency_target, ratio)) {
-    return Decision::kAdmitted;
-  }
-  const bool is_raised =
-      request.standing.behind &&
-      request.wait <= Scale(request.latency_target, options.behind_wait_ratio);
-  return is_raised ? Decision::kAdmittedBehind : Decision::kRefusedBusy;
+  const Decision by_wait = DecideByWait(options, request);
+  const bool is_held_back = IsAdmitted(by_wait) && IsHeldBack(options, request);
+  return is_held_back ? Decision::kRefusedAhead : by_wait;
 }
 
 bool IsAdmitted(Decision decision) {
--- a/samphirebank/admission/admission.h
+++ b/samphirebank/admission/admission.h
@@ -70,6 +70,12 @@
   // organisation is at least behind_wait_ratio.
   double behind_below = 0.95;
   double behind_wait_ratio = 0.08;
+  // While two organisations or more are backlogged, none is admitted more than
+  // a ceiling over the fleet: the level multiplied by this.
+  double most_of_level = 1.5;
+  // Longest time for which an organisation saves up what it was not admitted
+  // below the ceiling.
+  Duration max_saved = std::chrono::milliseconds(2000);
   // A refused prompt should be retried after base_retry_delay, plus
   // retry_delay_step for each fair share that its organisation used, but at
   // most after max_retry_delay.
@@ -123,6 +129,32 @@
 // NumHeldBack returns how many organisations are ahead.
 size_t NumHeldBack(const Standings& standings);
 
+// ComputeCeiling returns the rate in tokens per second above which no
+// organisation is admitted over the fleet at its present rates, unless that is
+// below its nominal share; infinite if fewer than two are backlogged.
+double ComputeCeiling(const Options& options, const RatesByOrganisation& rates);
+
+// Pace keeps an organisation to its part of the ceiling at one gateway. A
+// request that is refused spends nothing, so that it makes no difference how
+// often an organisation tries.
+struct Pace {
+  bool limited = false;  // there is a ceiling
+  double saved = 0.0;    // tokens; negative: was admitted in advance
+  TimePoint updated_at{};
+};
+
+// Accrue adds what the organisation may be admitted since the last call.
+// `part` is its part of the ceiling at this gateway in tokens per second;
+// infinite if there is no ceiling. It should be called at a fixed interval: at
+// the requests of an organisation, what is known of its part is biased.
+void Accrue(const Options& options, Pace& pace, double part, TimePoint now);
+
+// IsOverCeiling returns whether the organisation has used up its part.
+bool IsOverCeiling(const Pace& pace);
+
+// Spend records the admission of a prompt of `tokens`.
+void Spend(Pace& pace, double tokens);
+
 // Draw maps a hash to a number in [0, 1).
 double Draw(uint64_t hash);
 
@@ -136,7 +168,8 @@
   double used = 0.0;     // by the organisation across the fleet, tokens/s
   FairShares fair_shares{};
   Standing standing{};
-  double draw = 0.0;  // in [0, 1), compared with Standing::idle_chance
+  bool over_ceiling = false;  // see IsOverCeiling
+  double draw = 0.0;          // in [0, 1), compared with Standing::idle_chance
 };
 
 // Decision is what happens to a prompt.
@@ -148,8 +181,9 @@
 };
 
 // Decide returns whether to send the prompt to a target now, and why. The
-// standing changes nothing for an organisation that used at most its nominal
-// share: it is not held back, and its wait limit is above the raised one.
+// standing and the ceiling change nothing for an organisation that used at most
+// its nominal share: it is not held back, and its wait limit is above the
+// raised one.
 Decision Decide(const Options& options, const Request& request);
 
 // IsAdmitted returns whether a decision admits the prompt.
--- a/samphirebank/admission/fair_shares_fleet.cc
+++ b/samphirebank/admission/fair_shares_fleet.cc
@@ -1,6 +1,7 @@
 #include "samphirebank/admission/fair_shares_fleet.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace samphirebank::admission {
@@ -11,11 +12,32 @@
 using std::chrono::seconds;
 using Seconds = std::chrono::duration<double>;
 
+bool Contains(const std::vector<size_t>& numbers, size_t number) {
+  return std::ranges::find(numbers, number) != numbers.end();
+}
+
 }  // namespace
 
-Fleet::Fleet(const Scenario& given, bool standings, uint64_t seed)
+Figures SumOf(const std::vector<Figures>& slots, size_t first, size_t count) {
+  Figures sum;
+  for (size_t i = first; i < first + count; ++i) {
+    sum.asked += slots[i].asked;
+    sum.served += slots[i].served;
+    sum.refused += slots[i].refused;
+  }
+  return sum;
+}
+
+bool IsBackloggedIn(const std::vector<Figures>& slots, size_t first) {
+  for (size_t i = first; i < first + kSlotsOfWindow; i += 2) {
+    if (slots[i].refused + slots[i + 1].refused == 0) return false;
+  }
+  return true;
+}
+
+Fleet::Fleet(const Scenario& given, const Design& chosen, uint64_t seed)
     : scenario(given),
-      with_standings(standings),
+      design(chosen),
       arrivals(seed),
       random(seed + 1),
       gateways(kGateways),
@@ -42,6 +64,7 @@
   for (this->now = kStart; this->now < kStart + kSlots * kSlot;
        this->now += kStep) {
     this->ReadPrompts();
+    this->RunProcessors();
     this->Wake();
     for (size_t i = 0; i < kOrganisations; ++i) this->Arrive(i);
     this->Retry();
@@ -70,14 +93,54 @@
   return since >= Duration::zero() && since < milliseconds(1500);
 }
 
+double Fleet::DemandOf(size_t organisation) const {
+  double demand = this->demands[organisation];
+  for (const Change& change : this->scenario.changes) {
+    const Duration since = this->now - kStart;
+    const bool applies = change.organisation == organisation &&
+                         since >= change.from && since < change.until;
+    if (applies) demand *= change.factor;
+  }
+  return demand;
+}
+
+size_t Fleet::DrawGateway(size_t organisation, std::mt19937_64& source) {
+  const bool one = Contains(this->scenario.through_one, organisation);
+  const size_t drawn = one ? 0 : this->gateway_of(source);
+  return (drawn + organisation * 7) % kGateways;
+}
+
+bool Fleet::Serves(Gateway& gateway) const {
+  if (this->scenario.gateway_capacity <= 0) return true;
+  const bool serves = gateway.processor_left >= 1;
+  gateway.processor_left -= serves ? 1 : kRefusalCost;
+  return serves;
+}
+
+double Fleet::DemandAt(const Gateway& gateway, size_t organisation) const {
+  if (!this->design.refused_is_demand) {
+    return fleetload::Rate(gateway.asked[organisation], this->now);
+  }
+  return fleetload::Rate(gateway.admitted[organisation], this->now) +
+         fleetload::Rate(gateway.refused[organisation], this->now);
+}
+
+void Fleet::AccruePaces(Gateway& gateway) const {
+  for (size_t i = 0; i < kOrganisations; ++i) {
+    const double here = fleetload::Rate(gateway.asked[i], this->now);
+    const double all = here + gateway.others.rates[i].demand;
+    const double part = all > 0 ? here / all : 1.0;
+    Accrue({}, gateway.paces[i], gateway.ceiling * part, this->now);
+  }
+}
+
 void Fleet::Arrive(size_t organisation) {
   const auto tokens = static_cast<double>(TokensOf(organisation));
   const double mean =
-      this->demands[organisation] / tokens * Seconds(kStep).count();
+      this->DemandOf(organisation) / tokens * Seconds(kStep).count();
   const int count = std::poisson_distribution<int>(mean)(this->arrivals);
   for (int i = 0; i < count; ++i) {
-    const size_t gateway =
-        (this->gateway_of(this->arrivals) + organisation * 7) % kGateways;
+    const size_t gateway = this->DrawGateway(organisation, this->arrivals);
     const uint64_t part = 1 + organisation * 8 + this->arrivals() % 8;
     this->At(organisation).asked += tokens;
     this->Offer(
@@ -117,30 +180,38 @@
   const size_t organisation = prompt.organisation;
   const int64_t shared = SharedTokens(organisation);
   const auto tokens = static_cast<double>(TokensOf(organisation));
+  const bool is_shed = !this->Serves(gateway);
+  if (!is_shed || this->design.refused_is_demand) {
+    fleetload::Add(gateway.asked[organisation], tokens, this->now);
+  }
+  if (is_shed) return this->Refuse(prompt, 0);
   const dispatch::RequestProfile profile{
       .shared = {{.id = prompt.part, .tokens = Tokens(shared)}},
       .unique_tokens = Tokens(TokensOf(organisation) - shared),
       .seed = this->random()};
   const auto choice =
       dispatch::Choose(gateway.tracker, this->candidates, profile, this->now);
-  fleetload::Add(gateway.asked[organisation], tokens, this->now);
   const double used =
       Alike(gateway, this->now) *
           fleetload::Rate(gateway.admitted[organisation], this->now) +
       gateway.others.rates[organisation].admitted;
+  Pace& pace = gateway.paces[organisation];
+  const bool is_patient = Contains(this->scenario.patient, organisation);
   const Decision decision = Decide(
-      {}, {.latency_target = kLatencyTarget,
+      {}, {.latency_target = is_patient ? kLongTarget : kLatencyTarget,
            .wait = choice->wait + choice->duplicate_prefill_time,
            .mean_wait = choice->mean_wait,
            .used = used,
            .fair_shares = gateway.levels,
            .standing = StandingOf(gateway.standings,
                                   static_cast<fleetload::IdHash>(organisation)),
+           .over_ceiling = IsOverCeiling(pace),
            .draw = Draw(this->random())});
   this->refused_ahead += decision == Decision::kRefusedAhead ? 1 : 0;
   this->admitted_behind += decision == Decision::kAdmittedBehind ? 1 : 0;
   if (!IsAdmitted(decision)) return this->Refuse(prompt, used);
   fleetload::Add(gateway.admitted[organisation], tokens, this->now);
+  Spend(pace, tokens);
   this->At(organisation).served += tokens;
   dispatch::RecordSent(gateway.tracker, this->candidates[choice->index].id,
                        profile, choice->prefill_time, this->now);
@@ -150,11 +221,12 @@
 
 void Fleet::Refuse(Prompt prompt, double used) {
   ++this->At(prompt.organisation).refused;
-  if (++prompt.attempt >= kMaxAttempts) return;
+  fleetload::Add(this->gateways[prompt.gateway].refused[prompt.organisation],
+                 static_cast<double>(TokensOf(prompt.organisation)), this->now);
+  if (++prompt.attempt >= this->scenario.max_attempts) return;
   const Duration delay = RetryAfter(
       {}, used, this->gateways[prompt.gateway].levels.nominal, this->random());
-  prompt.gateway =
-      (this->gateway_of(this->random) + prompt.organisation * 7) % kGateways;
+  prompt.gateway = this->DrawGateway(prompt.organisation, this->random);
   this->retries.emplace(this->now + delay, prompt);
 }
 
@@ -187,6 +259,16 @@
   }
 }
 
+void Fleet::RunProcessors() {
+  const double capacity = this->scenario.gateway_capacity;
+  constexpr Duration kLongestUnused = milliseconds(50);
+  for (Gateway& gateway : this->gateways) {
+    gateway.processor_left =
+        std::min(gateway.processor_left + capacity * Seconds(kStep).count(),
+                 capacity * Seconds(kLongestUnused).count());
+  }
+}
+
 Told Fleet::OwnLoad(Gateway& gateway) const {
   Told load;
   for (size_t i = 0; i < kEngines; ++i) {
@@ -195,7 +277,7 @@
   }
   for (size_t i = 0; i < kOrganisations; ++i) {
     load.rates[i] = {
-        .demand = fleetload::Rate(gateway.asked[i], this->now),
+        .demand = this->DemandAt(gateway, i),
         .admitted = fleetload::Rate(gateway.admitted[i], this->now)};
   }
   return load;
@@ -265,8 +347,12 @@
   gateway.levels = {.nominal = fleetload::MaxMinFairShare(asks, stated),
                     .current = fleetload::MaxMinFairShare(
                         asks, CurrentCapacity(stated, admitted))};
-  const bool used = this->with_standings && alike <= 1.0;
+  const bool used = this->design.standings && alike <= 1.0;
   gateway.standings = used ? ComputeStandings({}, rates) : Standings{};
+  const bool capped = this->design.ceiling && alike <= 1.0;
+  gateway.ceiling = capped ? ComputeCeiling({}, rates)
+                           : std::numeric_limits<double>::infinity();
+  this->AccruePaces(gateway);
 }
 
 }  // namespace samphirebank::admission
--- a/samphirebank/admission/fair_shares_fleet.h
+++ b/samphirebank/admission/fair_shares_fleet.h
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -30,11 +31,29 @@
 inline constexpr size_t kGateways = 80;
 inline constexpr size_t kEngines = 24;
 inline constexpr size_t kOrganisations = 30;
-inline constexpr double kTokensPerMs = 55.0;  // of an engine
-inline constexpr int kMaxAttempts = 3;
+inline constexpr int64_t kMostTokens = 5'250;  // of a prompt
+inline constexpr double kTokensPerMs = 55.0;   // of an engine
 inline constexpr Duration kLatencyTarget = std::chrono::milliseconds(800);
 inline const TimePoint kStart{std::chrono::seconds(1000)};
 
+// Change multiplies the demand of one organisation for a while.
+struct Change {
+  size_t organisation = 0;
+  Duration from{};  // since kStart
+  Duration until{};
+  double factor = 1.0;
+};
+
+// Design says which decisions are played.
+struct Design {
+  bool standings = false;
+  bool ceiling = false;
+  // Demand is what is admitted and, with a short memory, what is refused, also
+  // by an overloaded gateway; else what is asked where no gateway is
+  // overloaded.
+  bool refused_is_demand = false;
+};
+
 // Scenario is one load. Rates are in tokens a second.
 struct Scenario {
   std::string name;
@@ -48,7 +67,18 @@
   // at each gateway, and arrive with this chance; the older they are.
   int oldest_intervals = 4;
   uint64_t arriving_tenths = 7;
+  int max_attempts = 3;
+  std::vector<Change> changes{};
+  // Organisations whose callers come through one gateway.
+  std::vector<size_t> through_one{};
+  // Organisations with a latency target of kLongTarget.
+  std::vector<size_t> patient{};
+  // Requests a second that the processor of a gateway serves; 0: all. Others
+  // are refused at once, which takes kRefusalCost of a request.
+  double gateway_capacity = 0;
 };
+inline constexpr Duration kLongTarget = std::chrono::milliseconds(2000);
+inline constexpr double kRefusalCost = 0.2;
 
 // Prompt waits at an engine until it is read.
 struct Prompt {
@@ -88,6 +118,8 @@
       std::vector<fleetload::RateMeter>(kOrganisations);
   std::vector<fleetload::RateMeter> admitted =
       std::vector<fleetload::RateMeter>(kOrganisations);
+  std::vector<fleetload::RateMeter> refused = std::vector<fleetload::RateMeter>(
+      kOrganisations, {.time_constant = fleetload::kRefusedTimeConstant});
   Told own{};  // as last reported
   std::optional<TimePoint> reported_at{};
   Told others{};
@@ -95,6 +127,9 @@
   Duration report_age{};
   FairShares levels{};
   Standings standings{};
+  std::vector<Pace> paces = std::vector<Pace>(kOrganisations);
+  double ceiling = std::numeric_limits<double>::infinity();
+  double processor_left = 0;   // in requests
   std::vector<Prompt> held{};  // while it is frozen
 };
 
@@ -107,10 +142,17 @@
 
 using Slots = std::vector<std::vector<Figures>>;  // by organisation and slot
 
+// SumOf returns the sum over `count` slots.
+Figures SumOf(const std::vector<Figures>& slots, size_t first, size_t count);
+
+// IsBackloggedIn returns whether an organisation was refused in each second of
+// the window that begins at the slot `first`.
+bool IsBackloggedIn(const std::vector<Figures>& slots, size_t first);
+
 // Fleet plays one scenario.
 class Fleet {
  public:
-  Fleet(const Scenario& given, bool standings, uint64_t seed);
+  Fleet(const Scenario& given, const Design& chosen, uint64_t seed);
 
   void Run();
 
@@ -133,7 +175,8 @@
   }
 
   static int64_t TokensOf(size_t organisation) {
-    return 1'500 + 750 * static_cast<int64_t>((organisation * 5 + 1) % 6);
+    return kMostTokens - 3'750 +
+           750 * static_cast<int64_t>((organisation * 5 + 1) % 6);
   }
   static int64_t SharedTokens(size_t organisation) {
     return TokensOf(organisation) / 2;
@@ -145,6 +188,12 @@
   }
 
   void Arrive(size_t organisation);
+  double DemandOf(size_t organisation) const;
+  size_t DrawGateway(size_t organisation, std::mt19937_64& source);
+  // Serves says whether the gateway's processor serves one more request.
+  bool Serves(Gateway& gateway) const;
+  double DemandAt(const Gateway& gateway, size_t organisation) const;
+  void AccruePaces(Gateway& gateway) const;
 
   void Retry();
 
@@ -159,6 +208,8 @@
   void Enqueue(size_t number, Prompt prompt);
 
   void ReadPrompts();
+  // RunProcessors gives each gateway the processor time of a step.
+  void RunProcessors();
 
   Told OwnLoad(Gateway& gateway) const;
 
@@ -176,7 +227,7 @@
   void Refresh(Gateway& gateway, const Told& own, double alike) const;
 
   const Scenario& scenario;
-  bool with_standings;
+  Design design;
   std::mt19937_64 arrivals;  // the same with and without standings
   std::mt19937_64 random;
   std::discrete_distribution<size_t> gateway_of;
--- a/samphirebank/admission/fair_shares_test.cc
+++ b/samphirebank/admission/fair_shares_test.cc
@@ -17,24 +17,6 @@
 namespace samphirebank::admission {
 namespace {
 
-Figures SumOf(const std::vector<Figures>& slots, size_t first, size_t count) {
-  Figures sum;
-  for (size_t i = first; i < first + count; ++i) {
-    sum.asked += slots[i].asked;
-    sum.served += slots[i].served;
-    sum.refused += slots[i].refused;
-  }
-  return sum;
-}
-
-// IsBackloggedIn returns whether an organisation was refused in each second.
-bool IsBackloggedIn(const std::vector<Figures>& slots, size_t first) {
-  for (size_t i = first; i < first + kSlotsOfWindow; i += 2) {
-    if (slots[i].refused + slots[i + 1].refused == 0) return false;
-  }
-  return true;
-}
-
 // WorstRatio returns the least, over six seconds and two organisations that
 // are backlogged in them, of what the one served less got, divided by what the
 // other got or by what it asked itself, whichever is less.
@@ -55,6 +37,10 @@
   return worst;
 }
 
+constexpr Design kBaseline{};
+constexpr Design kPlayed{
+    .standings = true, .ceiling = true, .refused_is_demand = true};
+
 struct Outcome {
   double worst_ratio = 1.0;
   double served = 0;        // tokens, by all engines
@@ -68,8 +54,8 @@
 
 // Small organisations are all that ask for at most a fiftieth of the stated
 // capacity, about half of an equal part of it.
-Outcome Play(const Scenario& scenario, bool with_standings, uint64_t seed) {
-  Fleet fleet(scenario, with_standings, seed);
+Outcome Play(const Scenario& scenario, const Design& design, uint64_t seed) {
+  Fleet fleet(scenario, design, seed);
   fleet.Run();
   Outcome outcome{.worst_ratio = WorstRatio(fleet.result()),
                   .served = fleet.tokens_read,
@@ -104,8 +90,8 @@
 // of small organisations are kept.
 void Compare(const Scenario& scenario, double least_ratio) {
   for (const uint64_t seed : {1U, 2U, 3U, 4U}) {
-    const Outcome baseline = Play(scenario, false, seed);
-    const Outcome outcome = Play(scenario, true, seed);
+    const Outcome baseline = Play(scenario, kBaseline, seed);
+    const Outcome outcome = Play(scenario, kPlayed, seed);
     MESSAGE(scenario.name << ", seed " << seed
                           << "\n  baseline: " << Describe(baseline)
                           << "\n  standings: " << Describe(outcome));
@@ -166,8 +152,8 @@
 TEST_CASE("a calm fleet is served exactly as before") {
   const Scenario scenario = {
       .name = "calm", .usual_demand = 700'000, .stated_capacity = 1'500'000};
-  const Outcome baseline = Play(scenario, false, 1);
-  const Outcome outcome = Play(scenario, true, 1);
+  const Outcome baseline = Play(scenario, kBaseline, 1);
+  const Outcome outcome = Play(scenario, kPlayed, 1);
   CHECK(outcome.refused_ahead == 0);
   CHECK(outcome.admitted_behind == 0);
   CHECK(outcome.served == baseline.served);
--- a/samphirebank/admission/standing.cc
+++ b/samphirebank/admission/standing.cc
@@ -6,16 +6,13 @@
 #include <vector>
 
 #include "samphirebank/admission/admission.h"
+#include "samphirebank/admission/internal/level.h"
 
 namespace samphirebank::admission {
-namespace {
-
 bool IsBacklogged(const Options& options, const ServiceRates& rates) {
   return rates.demand > options.backlogged_ratio * rates.admitted;
 }
 
-// FairLevel returns the max-min fair level of what was admitted; infinite if
-// fewer than two organisations are backlogged.
 double FairLevel(const Options& options,
                  const RatesByOrganisation& by_organisation) {
   std::vector<double> demands;
@@ -31,8 +28,6 @@
   return fleetload::MaxMinFairShare(std::move(demands), admitted);
 }
 
-}  // namespace
-
 Standings ComputeStandings(const Options& options,
                            const RatesByOrganisation& rates) {
   Standings standings;
--- a/samphirebank/gateway/exchange.cc
+++ b/samphirebank/gateway/exchange.cc
@@ -139,6 +139,7 @@
                 .used = share.used,
                 .fair_shares = share.levels,
                 .standing = share.standing,
+                .over_ceiling = share.over_ceiling,
                 .draw = admission::Draw(AttemptSeed(this->call, Now()))});
   this->server.NoteAdmission(decision);
   if (admission::IsAdmitted(decision)) {
--- a/samphirebank/gateway/fleet_view.cc
+++ b/samphirebank/gateway/fleet_view.cc
@@ -32,11 +32,15 @@
 
 void Server::NoteArrival(const OrganisationId& organisation, Tokens tokens) {
   accounting::RecordAsked(this->accounts, organisation, tokens);
+  fleetload::Add(this->usage[organisation].asked,
+                 static_cast<double>(tokens.value), Now());
 }
 
 void Server::NoteAdmitted(const OrganisationId& organisation, Tokens tokens) {
-  fleetload::Add(this->usage[organisation].admitted,
-                 static_cast<double>(tokens.value), Now());
+  const auto amount = static_cast<double>(tokens.value);
+  Usage& use = this->usage[organisation];
+  fleetload::Add(use.admitted, amount, Now());
+  admission::Spend(use.pace, amount);
   accounting::RecordAdmitted(this->accounts, organisation, tokens);
 }
 
@@ -63,6 +67,7 @@
     return DemandOf(item.second, now) < kLeastRate;
   });
   this->RefreshLevel(now);
+  this->AccruePaces(now);
   const auto to = follow::NearestResponsive(this->follower, now);
   if (!to) return;
   fleetload::LoadReport report;
@@ -189,9 +194,11 @@
 void Server::RefreshStandings(const admission::RatesByOrganisation& rates,
                               TimePoint now) {
   // Without reports the rates of the others are a guess.
-  this->standings = this->IsTold(now)
-                        ? admission::ComputeStandings(this->admission, rates)
-                        : admission::Standings{};
+  const bool told = this->IsTold(now);
+  this->standings = told ? admission::ComputeStandings(this->admission, rates)
+                         : admission::Standings{};
+  this->ceiling = told ? admission::ComputeCeiling(this->admission, rates)
+                       : std::numeric_limits<double>::infinity();
   this->metrics.organisations_held_back.Set(
       static_cast<double>(admission::NumHeldBack(this->standings)));
 }
@@ -203,6 +210,22 @@
   return static_cast<double>(this->table->table.limits.tokens_per_second.value);
 }
 
+double Server::PartOf(const OrganisationId& organisation, double here) const {
+  const auto others =
+      this->others_usage.find(fleetload::HashId(organisation.value));
+  const bool only_here = others == this->others_usage.end();
+  const double all = here + (only_here ? 0.0 : others->second.demand);
+  return all > 0.0 ? here / all : 1.0;
+}
+
+void Server::AccruePaces(TimePoint now) {
+  for (auto& [organisation, use] : this->usage) {
+    const double here = fleetload::Rate(use.asked, now);
+    const double part = this->PartOf(organisation, here);
+    admission::Accrue(this->admission, use.pace, this->ceiling * part, now);
+  }
+}
+
 Share Server::ShareOf(const OrganisationId& organisation, TimePoint now) const {
   const fleetload::IdHash hash = fleetload::HashId(organisation.value);
   Share share{.levels = this->levels,
@@ -211,6 +234,7 @@
   const auto own = this->usage.find(organisation);
   if (own != this->usage.end()) {
     share.used = alike * fleetload::Rate(own->second.admitted, now);
+    share.over_ceiling = admission::IsOverCeiling(own->second.pace);
   }
   const auto others = this->others_usage.find(hash);
   if (others != this->others_usage.end()) {
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -73,6 +74,7 @@
 // Share is how an organisation stands, in tokens a second over the fleet.
 struct Share {
   double used = 0.0;
+  bool over_ceiling = false;  // see admission
   admission::FairShares levels{};
   admission::Standing standing{};
 };
@@ -259,11 +261,13 @@
   void NoteOutcome(Outcome outcome, Duration latency);
 
  private:
-  // What this gateway's callers are admitted and refused.
+  // What this gateway's callers ask, are admitted and are refused.
   struct Usage {
+    fleetload::RateMeter asked{};
     fleetload::RateMeter admitted{};
     fleetload::RateMeter refused{.time_constant =
                                      fleetload::kRefusedTimeConstant};
+    admission::Pace pace{};
   };
 
   std::vector<const directory::Announcement*> TargetsWithWork(
@@ -337,6 +341,10 @@
   void RefreshStandings(const admission::RatesByOrganisation& rates,
                         TimePoint now);
   double StatedCapacity() const;
+  // PartOf returns which part of an organisation's demand comes here, from 0 to
+  // 1. `here` is what it asks here, in tokens per second.
+  double PartOf(const OrganisationId& organisation, double here) const;
+  void AccruePaces(TimePoint now);
   void OnPacket(const wire::Opened& opened);
   bool TakePacket(const wire::Opened& opened);
   void AnswerRunQuery(const InstanceId& from, const signoff::RunQuery& query,
@@ -379,6 +387,7 @@
   std::optional<TimePoint> others_told_at;
   admission::FairShares levels;
   admission::Standings standings;
+  double ceiling = std::numeric_limits<double>::infinity();  // tokens/s
   admission::Options admission;
   std::set<std::shared_ptr<Session>> sessions;
   std::unique_ptr<link::Link> peers;
