--- a/samphirebank/admission/fair_shares_fleet.h
+++ b/samphirebank/admission/fair_shares_fleet.h
@@ -71,13 +71,10 @@
   std::vector<Change> changes{};
   // Organisations whose callers come through one gateway.
   std::vector<size_t> through_one{};
-  // Organisations with a latency target of kLongTarget.
-  std::vector<size_t> patient{};
   // Requests a second that the processor of a gateway serves; 0: all. Others
   // are refused at once, which takes kRefusalCost of a request.
   double gateway_capacity = 0;
 };
-inline constexpr Duration kLongTarget = std::chrono::milliseconds(2000);
 inline constexpr double kRefusalCost = 0.2;
 
 // Prompt waits at an engine until it is read.
@@ -188,6 +185,8 @@
   }
 
   void Arrive(size_t organisation);
+  // DemandOf returns what an organisation asks now, DemandAt what a gateway
+  // tells of it; tokens per second.
   double DemandOf(size_t organisation) const;
   size_t DrawGateway(size_t organisation, std::mt19937_64& source);
   // Serves says whether the gateway's processor serves one more request.
--- a/samphirebank/gateway/internal/server.h
+++ b/samphirebank/gateway/internal/server.h
@@ -344,6 +344,8 @@
   // PartOf returns which part of an organisation's demand comes here, from 0 to
   // 1. `here` is what it asks here, in tokens per second.
   double PartOf(const OrganisationId& organisation, double here) const;
+  // AccruePaces adds to what each organisation may be admitted below its part
+  // of the ceiling; see admission.
   void AccruePaces(TimePoint now);
   void OnPacket(const wire::Opened& opened);
   bool TakePacket(const wire::Opened& opened);
