The ceiling does not bind an organisation that is behind

Cause: a gateway holds an organisation to the part of the ceiling that its demand there is of its whole demand. What another, overloaded gateway refuses counts as demand, so the part elsewhere gets small, however little the organisation is admitted in all.

--- a/samphirebank/admission/admission.cc
+++ b/samphirebank/admission/admission.cc
@@ -39,7 +39,8 @@
 bool IsHeldBack(const Options& options, const Request& request) {
   if (request.used <= request.fair_shares.nominal) return false;
   const bool loses_draw = request.draw >= request.standing.idle_chance;
-  return request.over_ceiling || (IsIdle(options, request) && loses_draw);
+  const bool is_capped = request.over_ceiling && !request.standing.behind;
+  return is_capped || (IsIdle(options, request) && loses_draw);
 }
 
 }  // namespace
--- a/samphirebank/admission/ceiling_test.cc
+++ b/samphirebank/admission/ceiling_test.cc
@@ -116,6 +116,14 @@
   CHECK(Decide({}, request) == Decision::kRefusedBusy);
 }
 
+// Guards against an organisation that is refused at a gateway with room since
+// most of its demand is refused at another one.
+TEST_CASE("who is behind is not held to its part at one gateway") {
+  Request request = HeldBackRequest();
+  request.standing = {.ratio = 0.5, .behind = true};
+  CHECK(Decide({}, request) == Decision::kAdmitted);
+}
+
 TEST_CASE("below its nominal share nobody is over the ceiling") {
   Request request = HeldBackRequest();
   request.used = 90;
