--- a/samphirebank/admission/ceiling_test.cc
+++ b/samphirebank/admission/ceiling_test.cc
@@ -99,8 +99,7 @@
   CHECK_FALSE(IsOverCeiling(pace));
 }
 
-// Guards against an organisation that is held back at idle targets only and is
-// admitted by its longer waits.
+// Guards against an organisation that is held back at idle targets only.
 TEST_CASE("who is over the ceiling is refused whatever the wait") {
   Request request = HeldBackRequest();
   CHECK(Decide({}, request) == Decision::kRefusedAhead);
@@ -116,8 +115,7 @@
   CHECK(Decide({}, request) == Decision::kRefusedBusy);
 }
 
-// Guards against an organisation that is refused at a gateway with room since
-// most of its demand is refused at another one.
+// Guards against refusals at a gateway with room because of refusals elsewhere.
 TEST_CASE("who is behind is not held to its part at one gateway") {
   Request request = HeldBackRequest();
   request.standing = {.ratio = 0.5, .behind = true};
