--- a/samphirebank/admission/fair_shares_fleet.cc
+++ b/samphirebank/admission/fair_shares_fleet.cc
@@ -196,8 +196,9 @@
           fleetload::Rate(gateway.admitted[organisation], this->now) +
       gateway.others.rates[organisation].admitted;
   Pace& pace = gateway.paces[organisation];
+  const bool is_patient = Contains(this->scenario.patient, organisation);
   const Decision decision = Decide(
-      {}, {.latency_target = kLatencyTarget,
+      {}, {.latency_target = is_patient ? kLongTarget : kLatencyTarget,
            .wait = choice->wait + choice->duplicate_prefill_time,
            .mean_wait = choice->mean_wait,
            .used = used,
--- a/samphirebank/admission/fair_shares_fleet.h
+++ b/samphirebank/admission/fair_shares_fleet.h
@@ -71,11 +71,14 @@
   std::vector<Change> changes{};
   // Organisations whose callers come through one gateway.
   std::vector<size_t> through_one{};
+  // Organisations with a latency target of kLongTarget.
+  std::vector<size_t> patient{};
   // Requests a second that the processor of a gateway serves; 0: all. Others
   // are refused at once, which takes kRefusalCost of a request.
   double gateway_capacity = 0;
 };
 inline constexpr double kRefusalCost = 0.2;
+inline constexpr Duration kLongTarget = std::chrono::milliseconds(2000);
 
 // Prompt waits at an engine until it is read.
 struct Prompt {
